--- /dev/null
+++ b/crates/larklink-adapter/src/settings.rs
@@ -0,0 +1,154 @@
+//! The settings object of an instance, from the wire's JSON to the module's plain values.
+use larklink::types::{Group, Kind, Listener, Settings, Time};
+use serde::Deserialize;
+
+/// Nanoseconds to whole tenths of a millisecond, rounded down.
+pub fn tenths(ns: i64) -> Time {
+    u64::try_from(ns).unwrap_or(0) / 100_000
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Info {
+    discovery: String,
+    domain: Domain,
+    grades: Vec<Grade>,
+    group_size: f64,
+    over_share_worth: f64,
+    policy_limits: Limits,
+    safety: Safety,
+    tenants: Vec<Tenant>,
+    weights: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Domain {
+    message_aim_ns: Vec<i64>,
+    tenant_quota_connections: Vec<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Grade {
+    aim_ns: i64,
+    gain: f64,
+    group: String,
+    idempotency: String,
+    window_ns: i64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Tenant {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    dial_timeout_ns: i64,
+    max_retry_after_ns: i64,
+    probing: bool,
+    retry_after: bool,
+    send_cap: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Safety {
+    cold_ns: i64,
+    drain_grace_ns: i64,
+    fall_multiple: f64,
+    must_ask_in_ns: i64,
+    overload_for_ns: i64,
+    start_capacity: f64,
+}
+
+impl Default for Info {
+    fn default() -> Self {
+        Self {
+            discovery: "pushed".into(),
+            domain: Domain::default(),
+            grades: Vec::new(),
+            group_size: 1.0,
+            over_share_worth: 1.0,
+            policy_limits: Limits::default(),
+            safety: Safety::default(),
+            tenants: Vec::new(),
+            weights: "off".into(),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            dial_timeout_ns: 250_000_000,
+            max_retry_after_ns: 0,
+            probing: false,
+            retry_after: false,
+            send_cap: 1,
+        }
+    }
+}
+
+impl Default for Safety {
+    fn default() -> Self {
+        Self {
+            cold_ns: 0,
+            drain_grace_ns: 0,
+            fall_multiple: 1.0,
+            must_ask_in_ns: 10_000_000_000,
+            overload_for_ns: 1_000_000_000,
+            start_capacity: 1.0,
+        }
+    }
+}
+
+pub fn read(text: &[u8]) -> Result<Settings, serde_json::Error> {
+    let info: Info = serde_json::from_slice(text)?;
+    let listeners = info.grades.iter().map(|g| Listener {
+        kind: match (g.idempotency.as_str(), g.group.as_str()) {
+            ("idempotent", _) => Kind::Repeatable,
+            ("deduplicated", group) => Kind::Referenced {
+                group: match group {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    _ => Group::Cell,
+                },
+                window: tenths(g.window_ns),
+            },
+            // A kind of listener that we do not know is treated with the most care.
+            _ => Kind::OnceOnly,
+        },
+        handshake_target: tenths(g.aim_ns),
+        utility: g.gain,
+    });
+    let quota = &info.domain.tenant_quota_connections;
+    let (limits, safety) = (&info.policy_limits, &info.safety);
+    Ok(Settings {
+        listeners: listeners.collect(),
+        tenant_quota: if quota.is_empty() {
+            info.tenants.iter().map(|t| t.quota_per_s).collect()
+        } else {
+            quota.clone()
+        },
+        over_share_utility: info.over_share_worth,
+        group_size: info.group_size.max(1.0),
+        weighted: matches!(info.weights.as_str(), "nominal" | "rough"),
+        on_request: info.discovery == "on_request",
+        must_ask_in: tenths(safety.must_ask_in_ns),
+        drain_grace: tenths(safety.drain_grace_ns),
+        start_capacity: safety.start_capacity,
+        cold: tenths(safety.cold_ns),
+        fall_multiple: safety.fall_multiple,
+        overload_for: tenths(safety.overload_for_ns),
+        connect_timeout: tenths(limits.dial_timeout_ns).max(1),
+        max_dials: limits.send_cap,
+        max_retry_after: tenths(limits.max_retry_after_ns),
+        retry_after: limits.retry_after,
+        probing: limits.probing,
+        message_target: info.domain.message_aim_ns.iter().map(|&ns| tenths(ns)).min().unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/crates/larklink/src/balancer.rs
@@ -0,0 +1,478 @@
+//! Where each session goes: every decision of a larklink proxy, with no I/O, clock or wire.
+//!
+//! How to call it. Make one [`Balancer`] a proxy, hand it the server list with [`Balancer::heard_list`], then ask:
+//! [`Balancer::place`] says where a session goes, [`Balancer::settled`] whether it goes again. Tell it what it could
+//! not see otherwise: [`Balancer::stood`], [`Balancer::noted`], [`Balancer::probed`], [`Balancer::left`]. Call
+//! [`Balancer::chores`] when [`Balancer::due`] has come, and carry out what it returns. Every call takes the time
+//! now; none blocks. The values that go in and out, this module's interface, are defined in `types.rs`.
+//!
+//! The ordinary path is the bucket table of `docs/design.md`; a paragraph there stands for each departure below.
+use std::collections::BTreeMap;
+
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Beta, Distribution};
+use slab::Slab;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::types::*;
+
+/// Buckets of the table, alike at every proxy.
+const BUCKETS: u64 = 4096;
+/// "Clearly more than the mean": so many times it, and one connection on top for chance.
+const CROWDED: f64 = 1.3;
+/// A server that we hold sessions on is probed when it has said nothing for so many connect time-outs.
+const QUIET: u64 = 8;
+/// Housekeeping comes round once in this share of a connect time-out.
+const ROUNDS: u64 = 1;
+/// Failures in a row, with no sign of life between, after which a server counts as silent.
+const SILENT: u32 = 2;
+/// Share of a silent server's sessions that is moved off in one round.
+const MOVED: f64 = 0.25;
+
+/// All that is known of one server.
+#[derive(Clone, Debug)]
+struct Server {
+    entry: Entry,
+    /// When we were told that it drains or is gone.
+    told: Option<Time>,
+    /// When it joined the ready servers of our list.
+    joined: Time,
+    /// Sessions of ours that stand there or are being dialled.
+    held: u32,
+    /// Evidence of its health, the prior included.
+    good: f64,
+    bad: f64,
+    /// Failures since its last sign of life.
+    misses: u32,
+    heard: Time,
+    probed: Option<Time>,
+    /// Up to when it counts as crowded.
+    crowded: Time,
+    /// Sends that its cold budget still allows.
+    budget: f64,
+    refilled: Time,
+}
+
+impl Server {
+    fn alive(&mut self, now: Time) {
+        (self.heard, self.misses, self.bad) = (now, 0, 1.0);
+        self.good = (self.good + 1.0).min(8.0);
+    }
+
+    fn missed(&mut self) {
+        self.misses += 1;
+        self.bad += 1.0;
+        self.good = 1.0 + (self.good - 1.0) / 2.0;
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.state == State::Ready
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Sess {
+    ask: Session,
+    bucket: u64,
+    /// When the client gives up.
+    until: Time,
+    server: ServerIx,
+    dials: u32,
+    stands: bool,
+    /// The first dial that may have run: its server and when it was sent.
+    may_have_run: Option<(ServerIx, Time)>,
+    sent: Time,
+}
+
+pub struct Balancer {
+    set: Settings,
+    rng: ChaCha8Rng,
+    servers: Vec<Option<Server>>,
+    sessions: Slab<Sess>,
+    /// Each bucket's ranking of the ready servers, worked out when first asked for.
+    table: BTreeMap<u64, Vec<ServerIx>>,
+    /// What setting up takes of late, over all servers.
+    setup: f64,
+    /// Sends of late for each unit of weight and tenth of a ms.
+    next_round: Time,
+    next_ask: Option<Time>,
+    started: Time,
+    sends: f64,
+    logs: Vec<Chore>,
+}
+
+impl Balancer {
+    pub fn new(set: Settings, seed: u64, now: Time) -> Self {
+        let next_ask = set.on_request.then_some(now);
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let (servers, sessions, table) = (Vec::new(), Slab::new(), BTreeMap::new());
+        let (setup, sends, logs) = (0.0, 0.0, Vec::new());
+        Self {
+            set,
+            rng,
+            servers,
+            sessions,
+            table,
+            setup,
+            next_round: now,
+            next_ask,
+            started: now,
+            sends,
+            logs,
+        }
+    }
+
+    /// The server list, or what changed in it.
+    pub fn heard_list(&mut self, now: Time, scope: Scope, entries: &[Entry]) {
+        if scope != Scope::Changes {
+            for s in self.servers.iter_mut().flatten() {
+                if s.ready() && !entries.iter().any(|e| e.server == s.entry.server) {
+                    (s.entry.state, s.told) = (State::Gone, Some(now));
+                }
+            }
+        }
+        for &entry in entries {
+            if self.servers.len() <= entry.server {
+                self.servers.resize(entry.server + 1, None);
+            }
+            let fresh = Server {
+                entry,
+                told: None,
+                joined: now,
+                held: 0,
+                good: 2.0,
+                bad: 1.0,
+                misses: 0,
+                heard: now,
+                probed: None,
+                crowded: 0,
+                budget: 0.0,
+                refilled: now,
+            };
+            let s = self.servers[entry.server].get_or_insert(fresh);
+            let was_ready = s.ready();
+            if entry.came_up > s.entry.came_up {
+                (s.budget, s.refilled, s.misses, s.bad, s.heard) = (0.0, now, 0, 1.0, now);
+            }
+            s.entry = entry;
+            match (was_ready, s.ready()) {
+                (false, true) => (s.told, s.joined) = (None, now),
+                (true, false) => s.told = Some(now),
+                (false, false) => s.told = s.told.or(Some(now)),
+                (true, true) => {}
+            }
+        }
+        self.table.clear();
+        if scope == Scope::Whole {
+            self.next_ask = self.next_ask.map(|_| Time::MAX);
+        }
+    }
+
+    /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance.
+    pub fn list_failed(&mut self, now: Time) {
+        if self.set.on_request {
+            let wait = self.set.must_ask_in / 8;
+            self.next_ask = Some(now + self.rng.random_range(wait / 4..=wait));
+        }
+    }
+
+    /// A connection that already runs through this proxy.
+    pub fn adopt(&mut self, now: Time, ask: Session, server: ServerIx) -> SessIx {
+        let bucket = self.bucket(&ask);
+        if let Some(s) = self.server(server) {
+            s.held += 1;
+        }
+        let until = now + ask.patience;
+        let sess = Sess { ask, bucket, until, server, dials: 1, stands: true, may_have_run: None, sent: now };
+        self.sessions.insert(sess)
+    }
+
+    /// Where to send this one.
+    pub fn place(&mut self, now: Time, ask: Session) -> (SessIx, Verdict) {
+        let bucket = self.bucket(&ask);
+        let until = now + ask.patience;
+        let sess =
+            Sess { ask, bucket, until, server: 0, dials: 0, stands: false, may_have_run: None, sent: now };
+        let ix = self.sessions.insert(sess);
+        let verdict = self.next(now, ix);
+        (ix, verdict)
+    }
+
+    /// A dial or a connection ended. Where the session is not over, says what comes next.
+    pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
+        let sess = self.sessions.get_mut(ix)?;
+        let (server, stood, sent) = (sess.server, sess.stands, sess.sent);
+        sess.stands = false;
+        if !how.never_ran() {
+            sess.may_have_run.get_or_insert((server, sent));
+        }
+        if let Some(s) = self.server(server) {
+            s.held = s.held.saturating_sub(1);
+            match how {
+                How::Accepted => s.alive(now),
+                How::Full => {
+                    s.alive(now);
+                    s.crowded = now + 4 * took.max(1);
+                }
+                How::Unmade | How::Broken => s.missed(),
+                How::Late | How::Error => s.bad += 1.0,
+                How::CalledOff | How::Unsent => {}
+            }
+        }
+        if how == How::Late && !stood {
+            self.setup += (took as f64 - self.setup) / 8.0;
+        }
+        if over {
+            self.sessions.try_remove(ix);
+            return None;
+        }
+        Some(self.next(now, ix))
+    }
+
+    /// The dial's connection stands.
+    pub fn stood(&mut self, now: Time, ix: SessIx, took: Time) {
+        let Some(sess) = self.sessions.get_mut(ix) else { return };
+        sess.stands = true;
+        let server = sess.server;
+        self.setup += (took as f64 - self.setup) / 8.0;
+        if let Some(s) = self.server(server) {
+            s.alive(now);
+        }
+    }
+
+    /// The client has left, or was moved: the session is over.
+    pub fn left(&mut self, ix: SessIx) {
+        if let Some(sess) = self.sessions.try_remove(ix)
+            && sess.dials > 0
+            && let Some(s) = self.server(sess.server)
+        {
+            s.held = s.held.saturating_sub(1);
+        }
+    }
+
+    pub fn noted(&mut self, now: Time, ix: SessIx, note: Note) {
+        let Some(sess) = self.sessions.get(ix) else { return };
+        let (server, target) = (sess.server, self.set.message_target);
+        let Some(s) = self.server(server) else { return };
+        s.alive(now);
+        match note {
+            Note::Delay(d) if d > target / 2 => s.crowded = now + 15_000,
+            Note::Delay(_) => s.crowded = 0,
+            Note::Load(_) => {}
+        }
+    }
+
+    pub fn probed(&mut self, now: Time, server: ServerIx, how: How) {
+        let Some(s) = self.server(server) else { return };
+        s.probed = None;
+        match how {
+            How::Accepted | How::Full => s.alive(now),
+            How::Unmade | How::Late | How::Broken => s.missed(),
+            _ => {}
+        }
+    }
+
+    /// When [`Balancer::chores`] wants to be called next.
+    pub fn due(&self) -> Time {
+        self.next_ask.map_or(self.next_round, |t| t.min(self.next_round))
+    }
+
+    /// Housekeeping: asks for the list, probes the quiet, moves sessions off the silent.
+    pub fn chores(&mut self, now: Time) -> Vec<Chore> {
+        let mut out = std::mem::take(&mut self.logs);
+        if self.next_ask.is_some_and(|t| t <= now) {
+            self.next_ask = Some(now + self.set.must_ask_in / 2);
+            out.push(Chore::Subscribe);
+        }
+        if now < self.next_round {
+            return out;
+        }
+        let round = self.set.connect_timeout / ROUNDS;
+        self.next_round = now + round;
+        self.sends *= 1.0 - round as f64 / (self.set.cold as f64).max(round as f64 * 2.0);
+        for ix in 0..self.servers.len() {
+            let (quiet, probing) = (self.set.connect_timeout * QUIET, self.set.probing);
+            let Some(s) = self.server(ix) else { continue };
+            if !s.ready() {
+                continue;
+            }
+            let wait = if s.misses > 0 { quiet / 4 } else { quiet };
+            if probing
+                && s.probed.is_none_or(|t| t + quiet < now)
+                && s.heard.max(s.probed.unwrap_or(0)) + wait <= now
+            {
+                s.probed = Some(now);
+                out.push(Chore::Probe(ix));
+            }
+            if s.misses >= SILENT && s.held > 0 {
+                // A silent server's sessions hang until the list notices: send their clients elsewhere now.
+                let pace = (s.held as f64 * MOVED).ceil() as usize;
+                let moved = self.sessions.iter().filter(|(_, x)| x.stands && x.server == ix);
+                out.extend(moved.take(pace).map(|(i, _)| Chore::Move(i)));
+            }
+        }
+        out
+    }
+
+    fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
+        self.servers.get_mut(ix)?.as_mut()
+    }
+
+    /// A session with neither key draws its bucket.
+    fn bucket(&mut self, ask: &Session) -> u64 {
+        match (ask.group_key, ask.client_key) {
+            (0, 0) => self.rng.random_range(0..BUCKETS),
+            (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
+        }
+    }
+
+    /// Weighted rendezvous: the servers in the order of -weight / ln(hash of bucket and id as a share of 1).
+    fn rank(&self, bucket: u64, keep: impl Fn(&Server) -> bool) -> Vec<ServerIx> {
+        let mut scored: Vec<(f64, u32, ServerIx)> = (self.servers.iter().flatten().filter(|s| keep(s)))
+            .map(|s| {
+                let mut key = [0; 12];
+                key[..8].copy_from_slice(&bucket.to_le_bytes());
+                key[8..].copy_from_slice(&s.entry.id.to_le_bytes());
+                let share = ((xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+                (-self.weight(s) / share.ln(), s.entry.id, s.entry.server)
+            })
+            .collect();
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        scored.into_iter().map(|(_, _, ix)| ix).collect()
+    }
+
+    fn weight(&self, s: &Server) -> f64 {
+        if self.set.weighted && s.entry.weight > 0.0 { s.entry.weight } else { 1.0 }
+    }
+
+    /// Sends a session on, or gives it its final answer at once.
+    fn next(&mut self, now: Time, ix: SessIx) -> Verdict {
+        let sess = self.sessions[ix].clone();
+        let left = sess.until.saturating_sub(now);
+        let kind = self.set.listeners[sess.ask.listener].kind;
+        let again = match (kind, sess.may_have_run) {
+            (_, None) | (Kind::Repeatable, _) => true,
+            (Kind::Referenced { window, .. }, Some((_, sent))) => now < sent + window,
+            (Kind::OnceOnly, _) => false,
+        };
+        let fits = sess.dials == 0 || left > self.set.connect_timeout / 4;
+        if again && fits && left > 0 && sess.dials < self.set.max_dials {
+            if let Some(server) = self.choose(now, &sess) {
+                let target = self.set.listeners[sess.ask.listener].handshake_target;
+                let limit = target.max((4.0 * self.setup) as Time).min(left);
+                self.sends += 1.0;
+                let s = self.server(server).expect("chosen from the records");
+                s.held += 1;
+                s.budget -= 1.0;
+                let x = &mut self.sessions[ix];
+                (x.server, x.sent, x.dials) = (server, now, x.dials + 1);
+                return Verdict::Dial { server, limit };
+            }
+        }
+        self.sessions.remove(ix);
+        let harmless = match (kind, sess.may_have_run) {
+            (_, None) | (Kind::Repeatable, _) | (Kind::Referenced { group: Group::All, .. }, _) => true,
+            _ => false,
+        };
+        if !harmless {
+            return Verdict::TearDown;
+        }
+        let wait = (self.set.max_retry_after as f64 * self.rng.random_range(0.25..1.0)) as Time;
+        Verdict::Refuse { retry_after: if self.set.retry_after { wait } else { 0 } }
+    }
+
+    /// The first server down the bucket's ranking that nothing speaks against.
+    fn choose(&mut self, now: Time, sess: &Sess) -> Option<ServerIx> {
+        let grace = self.set.drain_grace / 2;
+        let ranking = if sess.ask.mid_flow && sess.dials == 0 {
+            // The earlier owner: one that joined of late did not hold this connection, one that drains may.
+            let keep = self.set.cold;
+            let earlier = |s: &Server| match s.told {
+                Some(t) => s.entry.state == State::Draining && now <= t + grace,
+                None => s.joined + keep <= now || s.joined <= self.started,
+            };
+            let old = self.rank(sess.bucket, earlier);
+            let s = old.first().and_then(|&ix| self.servers[ix].as_ref());
+            if let Some(s) = s.filter(|s| s.misses < SILENT) {
+                return Some(s.entry.server);
+            }
+            self.rank(sess.bucket, Server::ready)
+        } else if let Some(row) = self.table.get(&sess.bucket) {
+            row.clone()
+        } else {
+            let row = self.rank(sess.bucket, Server::ready);
+            self.table.insert(sess.bucket, row.clone());
+            row
+        };
+        let fenced: Vec<ServerIx> = ranking.into_iter().filter(|&ix| self.allowed(sess, ix)).collect();
+        let (mut held, mut weight) = (0.0, 0.0);
+        for s in self.servers.iter().flatten().filter(|s| s.ready()) {
+            held += s.held as f64;
+            weight += self.weight(s);
+        }
+        let mean = held / weight;
+        let mut open = Vec::new();
+        let mut last = None;
+        for ix in fenced {
+            if !self.within_budget(now, ix, mean) {
+                continue;
+            }
+            let s = self.servers[ix].as_ref().expect("ranked from the records");
+            if sess.dials > 0 && ix == sess.server {
+                last = last.or(Some(ix));
+                continue;
+            }
+            if s.bad > 1.0 {
+                let chance = Beta::new(s.good, s.bad).expect("both above 0").sample(&mut self.rng);
+                if chance < 0.5 {
+                    last = last.or(Some(ix));
+                    continue;
+                }
+            }
+            let s = self.servers[ix].as_ref().expect("ranked from the records");
+            if s.crowded <= now && (s.held as f64) < CROWDED * mean * self.weight(s) + 1.0 {
+                return Some(ix);
+            }
+            open.push(ix);
+        }
+        // All are crowded: the least so of the first two, ties by chance.
+        open.truncate(2);
+        open.shuffle(&mut self.rng);
+        let load = |ix: &ServerIx| {
+            let s = self.servers[*ix].as_ref().expect("ranked from the records");
+            (s.held as f64) / self.weight(s)
+        };
+        open.into_iter().min_by(|a, b| load(a).total_cmp(&load(b))).or(last)
+    }
+
+    /// A session that may have run goes again only to servers that drop its repeats.
+    fn allowed(&self, sess: &Sess, ix: ServerIx) -> bool {
+        let Some((first, _)) = sess.may_have_run else { return true };
+        let (Some(a), Some(b)) = (&self.servers[first], &self.servers[ix]) else { return false };
+        match self.set.listeners[sess.ask.listener].kind {
+            Kind::Repeatable | Kind::Referenced { group: Group::All, .. } => true,
+            Kind::Referenced { group: Group::Zone, .. } => a.entry.zone == b.entry.zone,
+            Kind::Referenced { group: Group::Cell, .. } => a.entry.cell == b.entry.cell,
+            Kind::OnceOnly => false,
+        }
+    }
+
+    /// A cold server takes no more than our share of what it can do, guessed from what we send to a warm one.
+    fn within_budget(&mut self, now: Time, ix: ServerIx, mean: f64) -> bool {
+        let (cold, start, multiple) = (self.set.cold, self.set.start_capacity, self.set.fall_multiple);
+        let total: f64 = self.servers.iter().flatten().filter(|s| s.ready()).map(|s| self.weight(s)).sum();
+        let (span, s) = (self.set.overload_for as f64, self.servers[ix].as_ref().expect("ranked"));
+        let (weight, up, age) = (self.weight(s), s.entry.came_up, now.saturating_sub(s.entry.came_up));
+        if up == 0 || age >= cold {
+            return true;
+        }
+        let share = start + (1.0 - start) * age as f64 / cold as f64;
+        let watched = (now - self.started).clamp(1, cold) as f64;
+        let rate = multiple / 2.0 * share * self.sends / watched * weight / total;
+        let s = self.servers[ix].as_mut().expect("ranked");
+        s.budget = (s.budget + rate * (now - s.refilled) as f64).min(1.0 + rate * span);
+        s.refilled = now;
+        s.budget >= 1.0 && (s.held as f64) < share * mean * weight + 1.0
+    }
+}
--- /dev/null
+++ b/crates/larklink/src/types.rs
@@ -0,0 +1,152 @@
+//! Plain values that pass between a proxy and its [`Balancer`](crate::balancer::Balancer).
+
+/// A time or a span, in whole tenths of a millisecond.
+pub type Time = u64;
+
+/// A server's small index; the caller gives each id a new one, counting from 0.
+pub type ServerIx = usize;
+
+/// The handle of a session, good until its end.
+pub type SessIx = usize;
+
+/// May a session of this listener run twice?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Repeatable,
+    /// Repeats are dropped by the servers of one group, for the window after the first dial that may have run.
+    Referenced {
+        group: Group,
+        window: Time,
+    },
+    OnceOnly,
+}
+
+/// The servers that know a referenced session's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Listener {
+    pub kind: Kind,
+    pub handshake_target: Time,
+    pub utility: f64,
+}
+
+/// What a proxy is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub listeners: Vec<Listener>,
+    /// For each tenant the open connections, over all proxies, inside its share.
+    pub tenant_quota: Vec<f64>,
+    pub over_share_utility: f64,
+    /// Proxies in this tier.
+    pub group_size: f64,
+    /// The list's weights compare sizes and stand still.
+    pub weighted: bool,
+    /// The list must be asked for.
+    pub on_request: bool,
+    pub must_ask_in: Time,
+    pub drain_grace: Time,
+    pub start_capacity: f64,
+    pub cold: Time,
+    pub fall_multiple: f64,
+    pub overload_for: Time,
+    pub connect_timeout: Time,
+    pub max_dials: u32,
+    pub max_retry_after: Time,
+    pub retry_after: bool,
+    pub probing: bool,
+    /// The shortest time within which any listener wants a message.
+    pub message_target: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A line of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub server: ServerIx,
+    /// The same at every proxy; the table is built from it.
+    pub id: u32,
+    pub zone: u16,
+    pub cell: u16,
+    pub state: State,
+    pub weight: f64,
+    /// Its last start; 0: long ago.
+    pub came_up: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Changes,
+    Whole,
+    Cached,
+}
+
+/// A session as it reaches the proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Session {
+    pub listener: usize,
+    pub tenant: usize,
+    pub group_key: u64,
+    pub client_key: u64,
+    /// Time until its dial timeout.
+    pub patience: Time,
+    pub mid_flow: bool,
+}
+
+/// What to do with a session now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Dial { server: ServerIx, limit: Time },
+    Refuse { retry_after: Time },
+    TearDown,
+}
+
+/// How a dial, a connection or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Accepted,
+    Error,
+    Full,
+    Late,
+    Unmade,
+    Broken,
+    CalledOff,
+    Unsent,
+}
+
+impl How {
+    /// Proves that the dial never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, How::Full | How::Unmade | How::Unsent)
+    }
+}
+
+/// Word on an open connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// Its load now, microseconds of work a second.
+    Load(f64),
+    /// What a message takes at its server now.
+    Delay(Time),
+}
+
+/// Housekeeping that the proxy is to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Chore {
+    Probe(ServerIx),
+    Move(SessIx),
+    Subscribe,
+    Lookup,
+    Log(String),
+}
