--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -29,6 +29,10 @@
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off in one round.
 const MOVED: f64 = 0.25;
+/// Of what a server held when it dropped a session, the share that it is held to thereafter.
+const SHED: f64 = 0.9;
+/// That cap grows by this share each message target times a hundred.
+const REGROW: f64 = 0.02;
 
 /// All that is known of one server.
 #[derive(Clone, Debug)]
@@ -49,6 +53,8 @@
     probed: Option<Time>,
     /// Up to when it counts as crowded.
     crowded: Time,
+    /// The most sessions of ours that it bears, learned from those it dropped.
+    cap: f64,
     /// Sends that its cold budget still allows.
     budget: f64,
     refilled: Time,
@@ -147,6 +153,7 @@
                 heard: now,
                 probed: None,
                 crowded: 0,
+                cap: f64::INFINITY,
                 budget: 0.0,
                 refilled: now,
             };
@@ -154,6 +161,7 @@
             let was_ready = s.ready();
             if entry.came_up > s.entry.came_up {
                 (s.budget, s.refilled, s.misses, s.bad, s.heard) = (0.0, now, 0, 1.0, now);
+                s.cap = f64::INFINITY;
             }
             s.entry = entry;
             match (was_ready, s.ready()) {
@@ -215,6 +223,12 @@
                     s.alive(now);
                     s.crowded = now + 4 * took.max(1);
                 }
+                // A crowded server drops sessions, whose clients come again at once and crowd it further: take
+                // that for the most that it bears, so that the drops are not made good there.
+                How::Broken if stood => {
+                    s.missed();
+                    s.cap = s.cap.min((s.held as f64 * SHED).max(1.0));
+                }
                 How::Unmade | How::Broken => s.missed(),
                 How::Late | How::Error => s.bad += 1.0,
                 How::CalledOff | How::Unsent => {}
@@ -293,7 +307,9 @@
         self.sends *= 1.0 - round as f64 / (self.set.cold as f64).max(round as f64 * 2.0);
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (self.set.connect_timeout * QUIET, self.set.probing);
+            let regrow = 1.0 + REGROW * round as f64 / 10_000.0;
             let Some(s) = self.server(ix) else { continue };
+            s.cap *= regrow;
             if !s.ready() {
                 continue;
             }
@@ -415,7 +431,8 @@
         let mut open = Vec::new();
         let mut last = None;
         for ix in fenced {
-            if !self.within_budget(now, ix, mean) {
+            let s = self.servers[ix].as_ref().expect("ranked from the records");
+            if s.held as f64 + 1.0 > s.cap || !self.within_budget(now, ix, mean) {
                 continue;
             }
             let s = self.servers[ix].as_ref().expect("ranked from the records");
