Guess a cold server's budget from sessions held, not from sends

Cause: clients that came again after failures swelled the rate of sends from which the budget was guessed.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -100,11 +100,9 @@
     table: BTreeMap<u64, Vec<ServerIx>>,
     /// What setting up takes of late, over all servers.
     setup: f64,
-    /// Sends of late for each unit of weight and tenth of a ms.
     next_round: Time,
     next_ask: Option<Time>,
     started: Time,
-    sends: f64,
     logs: Vec<Chore>,
 }
 
@@ -113,20 +111,8 @@
         let next_ask = set.on_request.then_some(now);
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let (servers, sessions, table) = (Vec::new(), Slab::new(), BTreeMap::new());
-        let (setup, sends, logs) = (0.0, 0.0, Vec::new());
-        Self {
-            set,
-            rng,
-            servers,
-            sessions,
-            table,
-            setup,
-            next_round: now,
-            next_ask,
-            started: now,
-            sends,
-            logs,
-        }
+        let (setup, logs) = (0.0, Vec::new());
+        Self { set, rng, servers, sessions, table, setup, next_round: now, next_ask, started: now, logs }
     }
 
     /// The server list, or what changed in it.
@@ -304,7 +290,6 @@
         }
         let round = self.set.connect_timeout / ROUNDS;
         self.next_round = now + round;
-        self.sends *= 1.0 - round as f64 / (self.set.cold as f64).max(round as f64 * 2.0);
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (self.set.connect_timeout * QUIET, self.set.probing);
             let regrow = 1.0 + REGROW * round as f64 / 10_000.0;
@@ -377,7 +362,6 @@
             if let Some(server) = self.choose(now, &sess) {
                 let target = self.set.listeners[sess.ask.listener].handshake_target;
                 let limit = target.max((4.0 * self.setup) as Time).min(left);
-                self.sends += 1.0;
                 let s = self.server(server).expect("chosen from the records");
                 s.held += 1;
                 s.budget -= 1.0;
@@ -475,21 +459,21 @@
         }
     }
 
-    /// A cold server takes no more than our share of what it can do, guessed from what we send to a warm one.
+    /// A cold server takes no more than our share of what it can do. Clients that come again after a failure swell
+    /// the count of sends but not that of sessions held, so the guess is what warm servers hold, spread over the
+    /// warm-up.
     fn within_budget(&mut self, now: Time, ix: ServerIx, mean: f64) -> bool {
         let (cold, start, multiple) = (self.set.cold, self.set.start_capacity, self.set.fall_multiple);
-        let total: f64 = self.servers.iter().flatten().filter(|s| s.ready()).map(|s| self.weight(s)).sum();
         let (span, s) = (self.set.overload_for as f64, self.servers[ix].as_ref().expect("ranked"));
-        let (weight, up, age) = (self.weight(s), s.entry.came_up, now.saturating_sub(s.entry.came_up));
-        if up == 0 || age >= cold {
+        let (fill, age) = (mean * self.weight(s), now.saturating_sub(s.entry.came_up));
+        if s.entry.came_up == 0 || age >= cold {
             return true;
         }
         let share = start + (1.0 - start) * age as f64 / cold as f64;
-        let watched = (now - self.started).clamp(1, cold) as f64;
-        let rate = multiple / 2.0 * share * self.sends / watched * weight / total;
+        let rate = multiple * share * fill / cold as f64;
         let s = self.servers[ix].as_mut().expect("ranked");
         s.budget = (s.budget + rate * (now - s.refilled) as f64).min(1.0 + rate * span);
         s.refilled = now;
-        s.budget >= 1.0 && (s.held as f64) < share * mean * weight + 1.0
+        s.budget >= 1.0 && (s.held as f64) < share * fill + 1.0
     }
 }
