--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -98,6 +98,9 @@
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
     table: BTreeMap<u64, Vec<ServerIx>>,
+    /// Dials out, and how many may be while the session store answers with errors.
+    out: f64,
+    window: f64,
     /// What setting up takes of late, over all servers.
     setup: f64,
     next_round: Time,
@@ -112,7 +115,21 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let (servers, sessions, table) = (Vec::new(), Slab::new(), BTreeMap::new());
         let (setup, logs) = (0.0, Vec::new());
-        Self { set, rng, servers, sessions, table, setup, next_round: now, next_ask, started: now, logs }
+        let (out, window) = (0.0, f64::INFINITY);
+        Self {
+            set,
+            rng,
+            servers,
+            sessions,
+            table,
+            out,
+            window,
+            setup,
+            next_round: now,
+            next_ask,
+            started: now,
+            logs,
+        }
     }
 
     /// The server list, or what changed in it.
@@ -198,6 +215,14 @@
         let sess = self.sessions.get_mut(ix)?;
         let (server, stood, sent) = (sess.server, sess.stands, sess.sent);
         sess.stands = false;
+        if !stood {
+            self.out -= 1.0;
+            // The store behind all servers answers with errors when it is asked too much.
+            if how == How::Error {
+                self.window = (self.window.min(self.out + 1.0) * 0.7).max(1.0);
+            }
+        }
+        let sess = self.sessions.get_mut(ix)?;
         if !how.never_ran() {
             sess.may_have_run.get_or_insert((server, sent));
         }
@@ -234,6 +259,8 @@
     pub fn stood(&mut self, now: Time, ix: SessIx, took: Time) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.stands = true;
+        self.out -= 1.0;
+        self.window += 1.0 / self.window.max(1.0);
         let server = sess.server;
         self.setup += (took as f64 - self.setup) / 8.0;
         if let Some(s) = self.server(server) {
@@ -245,6 +272,10 @@
     pub fn left(&mut self, ix: SessIx) {
         if let Some(sess) = self.sessions.try_remove(ix)
             && sess.dials > 0
+            && {
+                self.out -= f64::from(u8::from(!sess.stands));
+                true
+            }
             && let Some(s) = self.server(sess.server)
         {
             s.held = s.held.saturating_sub(1);
@@ -357,7 +388,7 @@
             (Kind::Referenced { window, .. }, Some((_, sent))) => now < sent + window,
             (Kind::OnceOnly, _) => false,
         };
-        let fits = sess.dials == 0 || left > self.set.connect_timeout / 4;
+        let fits = (sess.dials == 0 || left > self.set.connect_timeout / 4) && self.out < self.window;
         if again && fits && left > 0 && sess.dials < self.set.max_dials {
             if let Some(server) = self.choose(now, &sess) {
                 let target = self.set.listeners[sess.ask.listener].handshake_target;
@@ -365,6 +396,7 @@
                 let s = self.server(server).expect("chosen from the records");
                 s.held += 1;
                 s.budget -= 1.0;
+                self.out += 1.0;
                 let x = &mut self.sessions[ix];
                 (x.server, x.sent, x.dials) = (server, now, x.dials + 1);
                 return Verdict::Dial { server, limit };
