Move the groups with the weakest claim off a server whose messages take long

Cause: the skip keeps new sessions off a crowded server but those that stand there stay unserved. All proxies pick the same groups, from the table's own hash.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -29,6 +29,8 @@
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off in one round.
 const MOVED: f64 = 0.25;
+/// Share of a crowded server's sessions that is moved off it at a time, rounded up to whole groups.
+const EASED: f64 = 0.15;
 /// Of what a server held when it dropped a session, the share that it is held to thereafter.
 const SHED: f64 = 0.9;
 /// That cap grows by this share each message target times a hundred.
@@ -53,6 +55,8 @@
     probed: Option<Time>,
     /// Up to when it counts as crowded.
     crowded: Time,
+    /// When sessions were last moved off it for that.
+    eased: Time,
     /// The most sessions of ours that it bears, learned from those it dropped.
     cap: f64,
     /// Sends that its cold budget still allows.
@@ -91,6 +95,15 @@
     sent: Time,
 }
 
+/// Weighted rendezvous: a server's claim on a bucket is -weight / ln(hash of bucket and id as a share of 1).
+fn claim(bucket: u64, id: u32, weight: f64) -> f64 {
+    let mut key = [0; 12];
+    key[..8].copy_from_slice(&bucket.to_le_bytes());
+    key[8..].copy_from_slice(&id.to_le_bytes());
+    let share = ((xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight / share.ln()
+}
+
 pub struct Balancer {
     set: Settings,
     rng: ChaCha8Rng,
@@ -156,6 +169,7 @@
                 heard: now,
                 probed: None,
                 crowded: 0,
+                eased: 0,
                 cap: f64::INFINITY,
                 budget: 0.0,
                 refilled: now,
@@ -230,10 +244,7 @@
             s.held = s.held.saturating_sub(1);
             match how {
                 How::Accepted => s.alive(now),
-                How::Full => {
-                    s.alive(now);
-                    s.crowded = now + 4 * took.max(1);
-                }
+                How::Full => s.alive(now),
                 // A crowded server drops sessions, whose clients come again at once and crowd it further: take
                 // that for the most that it bears, so that the drops are not made good there.
                 How::Broken if stood => {
@@ -342,11 +353,39 @@
                 let pace = (s.held as f64 * MOVED).ceil() as usize;
                 let moved = self.sessions.iter().filter(|(_, x)| x.stands && x.server == ix);
                 out.extend(moved.take(pace).map(|(i, _)| Chore::Move(i)));
+            } else {
+                self.ease(now, ix, &mut out);
             }
         }
         out
     }
 
+    /// A server where messages take long serves nobody well: moves off it the groups with the weakest claim to it,
+    /// which are the same at every proxy, while some other server has room.
+    fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
+        let s = self.servers[ix].as_ref().expect("asked for one that is there");
+        let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
+        if !room || s.crowded <= now || now < s.eased + 10_000 {
+            return;
+        }
+        let mut most = (s.held as f64 * EASED).ceil() as usize;
+        let (weight, id) = (self.weight(s), s.entry.id);
+        let mut claims: Vec<(f64, u64, SessIx)> = (self.sessions.iter())
+            .filter(|(_, x)| x.stands && x.server == ix)
+            .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
+            .collect();
+        claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let mut group = None;
+        for (_, bucket, sess) in claims {
+            if most == 0 && group != Some(bucket) {
+                break;
+            }
+            (most, group) = (most.saturating_sub(1), Some(bucket));
+            out.push(Chore::Move(sess));
+        }
+        self.servers[ix].as_mut().expect("as above").eased = now;
+    }
+
     fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
         self.servers.get_mut(ix)?.as_mut()
     }
@@ -359,16 +398,10 @@
         }
     }
 
-    /// Weighted rendezvous: the servers in the order of -weight / ln(hash of bucket and id as a share of 1).
+    /// The servers in the order of their claims on a bucket.
     fn rank(&self, bucket: u64, keep: impl Fn(&Server) -> bool) -> Vec<ServerIx> {
         let mut scored: Vec<(f64, u32, ServerIx)> = (self.servers.iter().flatten().filter(|s| keep(s)))
-            .map(|s| {
-                let mut key = [0; 12];
-                key[..8].copy_from_slice(&bucket.to_le_bytes());
-                key[8..].copy_from_slice(&s.entry.id.to_le_bytes());
-                let share = ((xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-                (-self.weight(s) / share.ln(), s.entry.id, s.entry.server)
-            })
+            .map(|s| (claim(bucket, s.entry.id, self.weight(s)), s.entry.id, s.entry.server))
             .collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         scored.into_iter().map(|(_, _, ix)| ix).collect()
