--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -375,7 +375,7 @@
             .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
             .collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let mut group = None;
+        let (mut group, before) = (None, out.len());
         for (_, bucket, sess) in claims {
             if most == 0 && group != Some(bucket) {
                 break;
@@ -383,7 +383,9 @@
             (most, group) = (most.saturating_sub(1), Some(bucket));
             out.push(Chore::Move(sess));
         }
-        self.servers[ix].as_mut().expect("as above").eased = now;
+        let moved = out.len() - before;
+        let s = self.servers[ix].as_mut().expect("as above");
+        (s.eased, s.cap) = (now, s.cap.min((s.held as f64 - moved as f64).max(1.0)));
     }
 
     fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
