--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -34,7 +34,7 @@
 /// Of what a server held when it dropped a session, the share that it is held to thereafter.
 const SHED: f64 = 0.9;
 /// That cap grows by this share each message target times a hundred.
-const REGROW: f64 = 0.02;
+const REGROW: f64 = 0.05;
 
 /// All that is known of one server.
 #[derive(Clone, Debug)]
