Count connections by their told load instead of by number

A session counts as what its notes told, else as its listener's mean, in mean loads; without notes each counts 1 as before.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -36,6 +36,9 @@
 /// That cap grows by this share each message target times a hundred.
 const REGROW: f64 = 0.05;
 
+/// Load notes over which the mean load of a session is taken; a listener's over its root.
+const MEMORY: f64 = 256.0;
+
 /// All that is known of one server.
 #[derive(Clone, Debug)]
 struct Server {
@@ -46,6 +49,8 @@
     joined: Time,
     /// Sessions of ours that stand there or are being dialled.
     held: u32,
+    /// Their load, in mean loads of a session.
+    load: f64,
     /// Evidence of its health, the prior included.
     good: f64,
     bad: f64,
@@ -76,6 +81,15 @@
         self.good = 1.0 + (self.good - 1.0) / 2.0;
     }
 
+    fn take(&mut self, load: f64) {
+        (self.held, self.load) = (self.held + 1, self.load + load);
+    }
+
+    fn release(&mut self, load: f64) {
+        self.held = self.held.saturating_sub(1);
+        self.load = if self.held == 0 { 0.0 } else { (self.load - load).max(0.0) };
+    }
+
     fn ready(&self) -> bool {
         self.entry.state == State::Ready
     }
@@ -90,6 +104,8 @@
     server: ServerIx,
     dials: u32,
     stands: bool,
+    /// Its load in mean loads of a session: what was told, else its listener's mean.
+    load: f64,
     /// The first dial that may have run: its server and when it was sent.
     may_have_run: Option<(ServerIx, Time)>,
     sent: Time,
@@ -104,8 +120,20 @@
     -weight / share.ln()
 }
 
+/// What differs by listener.
+struct Row {
+    kind: Kind,
+    handshake_target: Time,
+    /// Its mean load, in mean loads of a session.
+    load: f64,
+}
+
 pub struct Balancer {
     set: Settings,
+    rows: Vec<Row>,
+    /// The mean load that was told, and by how many notes.
+    unit: f64,
+    told: f64,
     rng: ChaCha8Rng,
     servers: Vec<Option<Server>>,
     sessions: Slab<Sess>,
@@ -124,6 +152,9 @@
 
 impl Balancer {
     pub fn new(set: Settings, seed: u64, now: Time) -> Self {
+        let row = |l: &Listener| Row { kind: l.kind, handshake_target: l.handshake_target, load: 1.0 };
+        let rows = set.listeners.iter().map(row).collect();
+        let (unit, told) = (0.0, 0.0);
         let next_ask = set.on_request.then_some(now);
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let (servers, sessions, table) = (Vec::new(), Slab::new(), BTreeMap::new());
@@ -131,6 +162,9 @@
         let (out, window) = (0.0, f64::INFINITY);
         Self {
             set,
+            rows,
+            unit,
+            told,
             rng,
             servers,
             sessions,
@@ -163,6 +197,7 @@
                 told: None,
                 joined: now,
                 held: 0,
+                load: 0.0,
                 good: 2.0,
                 bad: 1.0,
                 misses: 0,
@@ -204,21 +239,32 @@
 
     /// A connection that already runs through this proxy.
     pub fn adopt(&mut self, now: Time, ask: Session, server: ServerIx) -> SessIx {
+        let load = self.rows[ask.listener].load;
         let bucket = self.bucket(&ask);
         if let Some(s) = self.server(server) {
-            s.held += 1;
+            s.take(load);
         }
         let until = now + ask.patience;
-        let sess = Sess { ask, bucket, until, server, dials: 1, stands: true, may_have_run: None, sent: now };
+        let sess =
+            Sess { ask, bucket, until, server, dials: 1, stands: true, load, may_have_run: None, sent: now };
         self.sessions.insert(sess)
     }
 
     /// Where to send this one.
     pub fn place(&mut self, now: Time, ask: Session) -> (SessIx, Verdict) {
-        let bucket = self.bucket(&ask);
+        let (bucket, load) = (self.bucket(&ask), self.rows[ask.listener].load);
         let until = now + ask.patience;
-        let sess =
-            Sess { ask, bucket, until, server: 0, dials: 0, stands: false, may_have_run: None, sent: now };
+        let sess = Sess {
+            ask,
+            bucket,
+            until,
+            server: 0,
+            dials: 0,
+            stands: false,
+            load,
+            may_have_run: None,
+            sent: now,
+        };
         let ix = self.sessions.insert(sess);
         let verdict = self.next(now, ix);
         (ix, verdict)
@@ -227,7 +273,7 @@
     /// A dial or a connection ended. Where the session is not over, says what comes next.
     pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
-        let (server, stood, sent) = (sess.server, sess.stands, sess.sent);
+        let (server, stood, sent, load) = (sess.server, sess.stands, sess.sent, sess.load);
         sess.stands = false;
         if !stood {
             self.out -= 1.0;
@@ -241,7 +287,7 @@
             sess.may_have_run.get_or_insert((server, sent));
         }
         if let Some(s) = self.server(server) {
-            s.held = s.held.saturating_sub(1);
+            s.release(load);
             match how {
                 How::Accepted => s.alive(now),
                 How::Full => s.alive(now),
@@ -249,7 +295,7 @@
                 // that for the most that it bears, so that the drops are not made good there.
                 How::Broken if stood => {
                     s.missed();
-                    s.cap = s.cap.min((s.held as f64 * SHED).max(1.0));
+                    s.cap = s.cap.min((s.load * SHED).max(1.0));
                 }
                 How::Unmade | How::Broken => s.missed(),
                 How::Late | How::Error => s.bad += 1.0,
@@ -289,19 +335,28 @@
             }
             && let Some(s) = self.server(sess.server)
         {
-            s.held = s.held.saturating_sub(1);
+            s.release(sess.load);
         }
     }
 
     pub fn noted(&mut self, now: Time, ix: SessIx, note: Note) {
-        let Some(sess) = self.sessions.get(ix) else { return };
+        let Some(sess) = self.sessions.get_mut(ix) else { return };
+        let mut change = 0.0;
+        if let Note::Load(load) = note {
+            self.told = (self.told + 1.0).min(MEMORY);
+            self.unit += (load - self.unit) / self.told;
+            let (load, row) = (load / self.unit, &mut self.rows[sess.ask.listener]);
+            row.load += (load - row.load) / MEMORY.sqrt();
+            change = load - sess.load;
+            sess.load = load;
+        }
         let (server, target) = (sess.server, self.set.message_target);
         let Some(s) = self.server(server) else { return };
         s.alive(now);
         match note {
             Note::Delay(d) if d > target / 2 => s.crowded = now + 15_000,
             Note::Delay(_) => s.crowded = 0,
-            Note::Load(_) => {}
+            Note::Load(_) => s.load = (s.load + change).max(0.0),
         }
     }
 
@@ -368,24 +423,23 @@
         if !room || s.crowded <= now || now < s.eased + 10_000 {
             return;
         }
-        let mut most = (s.held as f64 * EASED).ceil() as usize;
+        let most = s.load * EASED;
         let (weight, id) = (self.weight(s), s.entry.id);
         let mut claims: Vec<(f64, u64, SessIx)> = (self.sessions.iter())
             .filter(|(_, x)| x.stands && x.server == ix)
             .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
             .collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let (mut group, before) = (None, out.len());
+        let (mut group, mut moved) = (None, 0.0);
         for (_, bucket, sess) in claims {
-            if most == 0 && group != Some(bucket) {
+            if moved >= most && group != Some(bucket) {
                 break;
             }
-            (most, group) = (most.saturating_sub(1), Some(bucket));
+            (moved, group) = (moved + self.sessions[sess].load, Some(bucket));
             out.push(Chore::Move(sess));
         }
-        let moved = out.len() - before;
         let s = self.servers[ix].as_mut().expect("as above");
-        (s.eased, s.cap) = (now, s.cap.min((s.held as f64 - moved as f64).max(1.0)));
+        (s.eased, s.cap) = (now, s.cap.min((s.load - moved).max(1.0)));
     }
 
     fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
@@ -417,7 +471,7 @@
     fn next(&mut self, now: Time, ix: SessIx) -> Verdict {
         let sess = self.sessions[ix].clone();
         let left = sess.until.saturating_sub(now);
-        let kind = self.set.listeners[sess.ask.listener].kind;
+        let kind = self.rows[sess.ask.listener].kind;
         let again = match (kind, sess.may_have_run) {
             (_, None) | (Kind::Repeatable, _) => true,
             (Kind::Referenced { window, .. }, Some((_, sent))) => now < sent + window,
@@ -426,10 +480,10 @@
         let fits = (sess.dials == 0 || left > self.set.connect_timeout / 4) && self.out < self.window;
         if again && fits && left > 0 && sess.dials < self.set.max_dials {
             if let Some(server) = self.choose(now, &sess) {
-                let target = self.set.listeners[sess.ask.listener].handshake_target;
+                let target = self.rows[sess.ask.listener].handshake_target;
                 let limit = target.max((4.0 * self.setup) as Time).min(left);
                 let s = self.server(server).expect("chosen from the records");
-                s.held += 1;
+                s.take(sess.load);
                 s.budget -= 1.0;
                 self.out += 1.0;
                 let x = &mut self.sessions[ix];
@@ -475,7 +529,7 @@
         let fenced: Vec<ServerIx> = ranking.into_iter().filter(|&ix| self.allowed(sess, ix)).collect();
         let (mut held, mut weight) = (0.0, 0.0);
         for s in self.servers.iter().flatten().filter(|s| s.ready()) {
-            held += s.held as f64;
+            held += s.load;
             weight += self.weight(s);
         }
         let mean = held / weight;
@@ -483,7 +537,7 @@
         let mut last = None;
         for ix in fenced {
             let s = self.servers[ix].as_ref().expect("ranked from the records");
-            if s.held as f64 + 1.0 > s.cap || !self.within_budget(now, ix, mean) {
+            if s.load + sess.load > s.cap || !self.within_budget(now, ix, mean) {
                 continue;
             }
             let s = self.servers[ix].as_ref().expect("ranked from the records");
@@ -499,7 +553,7 @@
                 }
             }
             let s = self.servers[ix].as_ref().expect("ranked from the records");
-            if s.crowded <= now && (s.held as f64) < CROWDED * mean * self.weight(s) + 1.0 {
+            if s.crowded <= now && s.load < CROWDED * mean * self.weight(s) + 1.0 {
                 return Some(ix);
             }
             open.push(ix);
@@ -509,7 +563,7 @@
         open.shuffle(&mut self.rng);
         let load = |ix: &ServerIx| {
             let s = self.servers[*ix].as_ref().expect("ranked from the records");
-            (s.held as f64) / self.weight(s)
+            s.load / self.weight(s)
         };
         open.into_iter().min_by(|a, b| load(a).total_cmp(&load(b))).or(last)
     }
@@ -518,7 +572,7 @@
     fn allowed(&self, sess: &Sess, ix: ServerIx) -> bool {
         let Some((first, _)) = sess.may_have_run else { return true };
         let (Some(a), Some(b)) = (&self.servers[first], &self.servers[ix]) else { return false };
-        match self.set.listeners[sess.ask.listener].kind {
+        match self.rows[sess.ask.listener].kind {
             Kind::Repeatable | Kind::Referenced { group: Group::All, .. } => true,
             Kind::Referenced { group: Group::Zone, .. } => a.entry.zone == b.entry.zone,
             Kind::Referenced { group: Group::Cell, .. } => a.entry.cell == b.entry.cell,
@@ -541,6 +595,6 @@
         let s = self.servers[ix].as_mut().expect("ranked");
         s.budget = (s.budget + rate * (now - s.refilled) as f64).min(1.0 + rate * span);
         s.refilled = now;
-        s.budget >= 1.0 && (s.held as f64) < share * fill + 1.0
+        s.budget >= 1.0 && s.load < share * fill + 1.0
     }
 }
