Let the time-out of a dial follow slow setups sooner

Cause: while the session store is slow, dials were called off and sent again, which only loads the store more.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -303,7 +303,7 @@
             }
         }
         if how == How::Late && !stood {
-            self.setup += (took as f64 - self.setup) / 8.0;
+            self.setup += (took as f64 - self.setup) / 4.0;
         }
         if over {
             self.sessions.try_remove(ix);
@@ -319,7 +319,7 @@
         self.out -= 1.0;
         self.window += 1.0 / self.window.max(1.0);
         let server = sess.server;
-        self.setup += (took as f64 - self.setup) / 8.0;
+        self.setup += (took as f64 - self.setup) / 4.0;
         if let Some(s) = self.server(server) {
             s.alive(now);
         }
@@ -481,7 +481,7 @@
         if again && fits && left > 0 && sess.dials < self.set.max_dials {
             if let Some(server) = self.choose(now, &sess) {
                 let target = self.rows[sess.ask.listener].handshake_target;
-                let limit = target.max((4.0 * self.setup) as Time).min(left);
+                let limit = target.max((6.0 * self.setup) as Time).min(left);
                 let s = self.server(server).expect("chosen from the records");
                 s.take(sess.load);
                 s.budget -= 1.0;
