Cut the window on dials also when setting up is slow on two servers in turn

Cause: after a mass reconnect dials waited for the store until their clients gave up, and came again.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -142,6 +142,8 @@
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
+    /// Where setting up was slow the last time.
+    slow_at: Option<ServerIx>,
     /// What setting up takes of late, over all servers.
     setup: f64,
     next_round: Time,
@@ -171,6 +173,7 @@
             table,
             out,
             window,
+            slow_at: None,
             setup,
             next_round: now,
             next_ask,
@@ -277,9 +280,8 @@
         sess.stands = false;
         if !stood {
             self.out -= 1.0;
-            // The store behind all servers answers with errors when it is asked too much.
-            if how == How::Error {
-                self.window = (self.window.min(self.out + 1.0) * 0.7).max(1.0);
+            if matches!(how, How::Error | How::Late) {
+                self.slow(server);
             }
         }
         let sess = self.sessions.get_mut(ix)?;
@@ -317,8 +319,12 @@
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.stands = true;
         self.out -= 1.0;
-        self.window += 1.0 / self.window.max(1.0);
-        let server = sess.server;
+        let (server, target) = (sess.server, self.rows[sess.ask.listener].handshake_target);
+        if took > target / 2 {
+            self.slow(server);
+        } else {
+            self.window += 1.0 / self.window.max(1.0);
+        }
         self.setup += (took as f64 - self.setup) / 4.0;
         if let Some(s) = self.server(server) {
             s.alive(now);
@@ -442,6 +448,14 @@
         (s.eased, s.cap) = (now, s.cap.min((s.load - moved).max(1.0)));
     }
 
+    /// Setting up was slow or ended in an error. Two servers in turn point at the store behind all of them, which
+    /// every further dial only loads: fewer dials at once. One server alone does not.
+    fn slow(&mut self, server: ServerIx) {
+        if self.slow_at.replace(server).is_some_and(|last| last != server) {
+            self.window = (self.window.min(self.out + 1.0) * 0.7).max(1.0);
+        }
+    }
+
     fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
         self.servers.get_mut(ix)?.as_mut()
     }
