--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -7,7 +7,7 @@
 //! now; none blocks. The values that go in and out, this module's interface, are defined in `types.rs`.
 //!
 //! The ordinary path is the bucket table of `docs/design.md`; a paragraph there stands for each departure below.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -95,6 +95,13 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Waits,
+    Dials,
+    Stands,
+}
+
 #[derive(Clone, Debug)]
 struct Sess {
     ask: Session,
@@ -103,7 +110,7 @@
     until: Time,
     server: ServerIx,
     dials: u32,
-    stands: bool,
+    phase: Phase,
     /// Its load in mean loads of a session: what was told, else its listener's mean.
     load: f64,
     /// The first dial that may have run: its server and when it was sent.
@@ -142,6 +149,8 @@
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
+    /// Sessions that wait for their turn in it.
+    waiting: VecDeque<SessIx>,
     /// Where setting up was slow the last time.
     slow_at: Option<ServerIx>,
     /// What setting up takes of late, over all servers.
@@ -173,6 +182,7 @@
             table,
             out,
             window,
+            waiting: VecDeque::new(),
             slow_at: None,
             setup,
             next_round: now,
@@ -248,8 +258,17 @@
             s.take(load);
         }
         let until = now + ask.patience;
-        let sess =
-            Sess { ask, bucket, until, server, dials: 1, stands: true, load, may_have_run: None, sent: now };
+        let sess = Sess {
+            ask,
+            bucket,
+            until,
+            server,
+            dials: 1,
+            phase: Phase::Stands,
+            load,
+            may_have_run: None,
+            sent: now,
+        };
         self.sessions.insert(sess)
     }
 
@@ -263,7 +282,7 @@
             until,
             server: 0,
             dials: 0,
-            stands: false,
+            phase: Phase::Waits,
             load,
             may_have_run: None,
             sent: now,
@@ -276,8 +295,8 @@
     /// A dial or a connection ended. Where the session is not over, says what comes next.
     pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
-        let (server, stood, sent, load) = (sess.server, sess.stands, sess.sent, sess.load);
-        sess.stands = false;
+        let (server, stood, sent, load) = (sess.server, sess.phase == Phase::Stands, sess.sent, sess.load);
+        sess.phase = Phase::Waits;
         if !stood {
             self.out -= 1.0;
             if matches!(how, How::Error | How::Late) {
@@ -317,7 +336,7 @@
     /// The dial's connection stands.
     pub fn stood(&mut self, now: Time, ix: SessIx, took: Time) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
-        sess.stands = true;
+        sess.phase = Phase::Stands;
         self.out -= 1.0;
         let (server, target) = (sess.server, self.rows[sess.ask.listener].handshake_target);
         if took > target / 2 {
@@ -333,14 +352,13 @@
 
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
-        if let Some(sess) = self.sessions.try_remove(ix)
-            && sess.dials > 0
-            && {
-                self.out -= f64::from(u8::from(!sess.stands));
-                true
-            }
-            && let Some(s) = self.server(sess.server)
-        {
+        let Some(sess) = self.sessions.try_remove(ix) else { return };
+        match sess.phase {
+            Phase::Waits => return self.waiting.retain(|&w| w != ix),
+            Phase::Dials => self.out -= 1.0,
+            Phase::Stands => {}
+        }
+        if let Some(s) = self.server(sess.server) {
             s.release(sess.load);
         }
     }
@@ -388,10 +406,23 @@
             self.next_ask = Some(now + self.set.must_ask_in / 2);
             out.push(Chore::Subscribe);
         }
+        while self.out < self.window
+            && let Some(ix) = self.waiting.pop_front()
+        {
+            let verdict = self.next(now, ix);
+            out.push(Chore::Answer(ix, verdict));
+        }
         if now < self.next_round {
             return out;
         }
         let round = self.set.connect_timeout / ROUNDS;
+        let late = |x: &Sess| {
+            now >= x.sent + self.rows[x.ask.listener].handshake_target || now + 2 * round >= x.until
+        };
+        let (given_up, waiting): (Vec<_>, Vec<_>) =
+            self.waiting.iter().partition(|&&ix| late(&self.sessions[ix]));
+        self.waiting = waiting.into();
+        out.extend(given_up.into_iter().map(|ix| Chore::Answer(ix, self.give_up(ix))));
         self.next_round = now + round;
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (self.set.connect_timeout * QUIET, self.set.probing);
@@ -412,7 +443,7 @@
             if s.misses >= SILENT && s.held > 0 {
                 // A silent server's sessions hang until the list notices: send their clients elsewhere now.
                 let pace = (s.held as f64 * MOVED).ceil() as usize;
-                let moved = self.sessions.iter().filter(|(_, x)| x.stands && x.server == ix);
+                let moved = self.sessions.iter().filter(|(_, x)| x.phase == Phase::Stands && x.server == ix);
                 out.extend(moved.take(pace).map(|(i, _)| Chore::Move(i)));
             } else {
                 self.ease(now, ix, &mut out);
@@ -425,14 +456,16 @@
     /// which are the same at every proxy, while some other server has room.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
         let s = self.servers[ix].as_ref().expect("asked for one that is there");
-        let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
+        let calm = self.waiting.is_empty() && self.out + 1.0 < self.window;
+        let room =
+            calm && self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
         if !room || s.crowded <= now || now < s.eased + 10_000 {
             return;
         }
         let most = s.load * EASED;
         let (weight, id) = (self.weight(s), s.entry.id);
         let mut claims: Vec<(f64, u64, SessIx)> = (self.sessions.iter())
-            .filter(|(_, x)| x.stands && x.server == ix)
+            .filter(|(_, x)| x.phase == Phase::Stands && x.server == ix)
             .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
             .collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -491,21 +524,36 @@
             (Kind::Referenced { window, .. }, Some((_, sent))) => now < sent + window,
             (Kind::OnceOnly, _) => false,
         };
-        let fits = (sess.dials == 0 || left > self.set.connect_timeout / 4) && self.out < self.window;
-        if again && fits && left > 0 && sess.dials < self.set.max_dials {
+        let target = self.rows[sess.ask.listener].handshake_target;
+        let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
+        let again = again && fits && sess.dials < self.set.max_dials;
+        if again && self.out >= self.window {
+            // Its turn is to come within its handshake target, else it is given up now.
+            let turn = self.setup * (self.waiting.len() + 1) as f64 / self.window;
+            if turn < target.min(left) as f64 {
+                self.waiting.push_back(ix);
+                self.sessions[ix].sent = now;
+                return Verdict::Wait;
+            }
+        } else if again {
             if let Some(server) = self.choose(now, &sess) {
-                let target = self.rows[sess.ask.listener].handshake_target;
                 let limit = target.max((6.0 * self.setup) as Time).min(left);
                 let s = self.server(server).expect("chosen from the records");
                 s.take(sess.load);
                 s.budget -= 1.0;
                 self.out += 1.0;
                 let x = &mut self.sessions[ix];
-                (x.server, x.sent, x.dials) = (server, now, x.dials + 1);
+                (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
                 return Verdict::Dial { server, limit };
             }
         }
-        self.sessions.remove(ix);
+        self.give_up(ix)
+    }
+
+    /// The final answer to a session that is not sent on: a refusal where that is true.
+    fn give_up(&mut self, ix: SessIx) -> Verdict {
+        let sess = self.sessions.remove(ix);
+        let kind = self.rows[sess.ask.listener].kind;
         let harmless = match (kind, sess.may_have_run) {
             (_, None) | (Kind::Repeatable, _) | (Kind::Referenced { group: Group::All, .. }, _) => true,
             _ => false,
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -107,8 +107,15 @@
 /// What to do with a session now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    Dial { server: ServerIx, limit: Time },
-    Refuse { retry_after: Time },
+    Dial {
+        server: ServerIx,
+        limit: Time,
+    },
+    /// Its turn comes soon, in a [`Chore::Answer`].
+    Wait,
+    Refuse {
+        retry_after: Time,
+    },
     TearDown,
 }
 
@@ -146,6 +153,8 @@
 pub enum Chore {
     Probe(ServerIx),
     Move(SessIx),
+    /// What to do with a session that waited.
+    Answer(SessIx, Verdict),
     Subscribe,
     Lookup,
     Log(String),
