Move single sessions off a crowded server, 0.08 of its load at a time

Cause: whole groups moved at once loaded the session store with set-ups and carried the crowd to the next server.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -29,8 +29,8 @@
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off in one round.
 const MOVED: f64 = 0.25;
-/// Share of a crowded server's sessions that is moved off it at a time, rounded up to whole groups.
-const EASED: f64 = 0.15;
+/// Share of a crowded server's sessions that is moved off it at a time.
+const EASED: f64 = 0.08;
 /// Of what a server held when it dropped a session, the share that it is held to thereafter.
 const SHED: f64 = 0.9;
 /// That cap grows by this share each message target times a hundred.
@@ -452,8 +452,9 @@
         out
     }
 
-    /// A server where messages take long serves nobody well: moves off it the groups with the weakest claim to it,
-    /// which are the same at every proxy, while some other server has room.
+    /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest claim to it,
+    /// which are the same at every proxy, while some other server has room. A few at a time: each is set up anew,
+    /// and whole groups at once only carry the crowd to the next server.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
         let s = self.servers[ix].as_ref().expect("asked for one that is there");
         let calm = self.waiting.is_empty() && self.out + 1.0 < self.window;
@@ -469,12 +470,12 @@
             .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
             .collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let (mut group, mut moved) = (None, 0.0);
-        for (_, bucket, sess) in claims {
-            if moved >= most && group != Some(bucket) {
+        let mut moved = 0.0;
+        for (_, _, sess) in claims {
+            if moved >= most {
                 break;
             }
-            (moved, group) = (moved + self.sessions[sess].load, Some(bucket));
+            moved += self.sessions[sess].load;
             out.push(Chore::Move(sess));
         }
         let s = self.servers[ix].as_mut().expect("as above");
