--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -151,8 +151,8 @@
     window: f64,
     /// Sessions that wait for their turn in it.
     waiting: VecDeque<SessIx>,
-    /// Where setting up was slow the last time.
-    slow_at: Option<ServerIx>,
+    /// Where setting up last ended in an error.
+    failed_at: Option<ServerIx>,
     /// What setting up takes of late, over all servers.
     setup: f64,
     next_round: Time,
@@ -183,7 +183,7 @@
             out,
             window,
             waiting: VecDeque::new(),
-            slow_at: None,
+            failed_at: None,
             setup,
             next_round: now,
             next_ask,
@@ -299,8 +299,8 @@
         sess.phase = Phase::Waits;
         if !stood {
             self.out -= 1.0;
-            if matches!(how, How::Error | How::Late) {
-                self.slow(server);
+            if how == How::Error {
+                self.store_failed(server);
             }
         }
         let sess = self.sessions.get_mut(ix)?;
@@ -338,12 +338,8 @@
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
         self.out -= 1.0;
-        let (server, target) = (sess.server, self.rows[sess.ask.listener].handshake_target);
-        if took > target / 2 {
-            self.slow(server);
-        } else {
-            self.window += 1.0 / self.window.max(1.0);
-        }
+        let server = sess.server;
+        self.window += 1.0 / self.window.max(1.0);
         self.setup += (took as f64 - self.setup) / 4.0;
         if let Some(s) = self.server(server) {
             s.alive(now);
@@ -457,9 +453,7 @@
     /// and whole groups at once only carry the crowd to the next server.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
         let s = self.servers[ix].as_ref().expect("asked for one that is there");
-        let calm = self.waiting.is_empty() && self.out + 1.0 < self.window;
-        let room =
-            calm && self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
+        let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
         if !room || s.crowded <= now || now < s.eased + 10_000 {
             return;
         }
@@ -482,10 +476,10 @@
         (s.eased, s.cap) = (now, s.cap.min((s.load - moved).max(1.0)));
     }
 
-    /// Setting up was slow or ended in an error. Two servers in turn point at the store behind all of them, which
-    /// every further dial only loads: fewer dials at once. One server alone does not.
-    fn slow(&mut self, server: ServerIx) {
-        if self.slow_at.replace(server).is_some_and(|last| last != server) {
+    /// Setting up ended in an error. Two servers in turn point at the store behind all of them, which every further
+    /// dial only loads: fewer dials at once. One server alone does not.
+    fn store_failed(&mut self, server: ServerIx) {
+        if self.failed_at.replace(server).is_some_and(|last| last != server) {
             self.window = (self.window.min(self.out + 1.0) * 0.7).max(1.0);
         }
     }
