--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -16,6 +16,7 @@
 
 struct Proxy {
     balancer: Balancer,
+    listeners: usize,
     servers: HashMap<u32, ServerIx>,
     ids: Vec<u32>,
     sessions: HashMap<u32, (SessIx, u8)>,
@@ -79,6 +80,7 @@
 impl Proxy {
     fn new(set: Settings, seed: u64, now: Time) -> Self {
         Self {
+            listeners: set.listeners.len(),
             balancer: Balancer::new(set, seed, now),
             servers: HashMap::new(),
             ids: Vec::new(),
@@ -117,7 +119,7 @@
                     mid_flow: e.u16(22) & MID_FLOW != 0,
                     patience: tenths(e.time(24)),
                     client_key: e.u64(32),
-                    listener: e.u8(40) as usize,
+                    listener: self.listener(e.u8(40))?,
                 };
                 let rid = e.u32(6);
                 let (sess, verdict) = self.balancer.place(now, ask);
@@ -126,7 +128,7 @@
             }
             1100 => {
                 let ask = Session {
-                    listener: e.u8(10) as usize,
+                    listener: self.listener(e.u8(10))?,
                     tenant: e.u32(11) as usize,
                     client_key: e.u64(15),
                     patience: tenths(e.time(23)),
@@ -236,6 +238,11 @@
         self.sessions.get(&rid).filter(|(_, dials)| dial + 1 == *dials).map(|&(sess, _)| sess)
     }
 
+    fn listener(&self, class: u8) -> Result<usize, Malformed> {
+        let known = (class as usize) < self.listeners;
+        known.then_some(class as usize).ok_or_else(|| Malformed(format!("no class {class} in the settings")))
+    }
+
     fn server(&mut self, id: u32) -> ServerIx {
         *self.servers.entry(id).or_insert_with(|| {
             self.ids.push(id);
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -530,17 +530,15 @@
                 self.sessions[ix].sent = now;
                 return Verdict::Wait;
             }
-        } else if again {
-            if let Some(server) = self.choose(now, &sess) {
-                let limit = target.max((6.0 * self.setup) as Time).min(left);
-                let s = self.server(server).expect("chosen from the records");
-                s.take(sess.load);
-                s.budget -= 1.0;
-                self.out += 1.0;
-                let x = &mut self.sessions[ix];
-                (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
-                return Verdict::Dial { server, limit };
-            }
+        } else if again && let Some(server) = self.choose(now, &sess) {
+            let limit = target.max((6.0 * self.setup) as Time).min(left);
+            let s = self.server(server).expect("chosen from the records");
+            s.take(sess.load);
+            s.budget -= 1.0;
+            self.out += 1.0;
+            let x = &mut self.sessions[ix];
+            (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
+            return Verdict::Dial { server, limit };
         }
         self.give_up(ix)
     }
@@ -549,10 +547,8 @@
     fn give_up(&mut self, ix: SessIx) -> Verdict {
         let sess = self.sessions.remove(ix);
         let kind = self.rows[sess.ask.listener].kind;
-        let harmless = match (kind, sess.may_have_run) {
-            (_, None) | (Kind::Repeatable, _) | (Kind::Referenced { group: Group::All, .. }, _) => true,
-            _ => false,
-        };
+        let harmless = sess.may_have_run.is_none()
+            || matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. });
         if !harmless {
             return Verdict::TearDown;
         }
--- /dev/null
+++ b/crates/larklink/tests/rules.rs
@@ -0,0 +1,384 @@
+//! Seeded random runs that check the rules after every step, and a plain case for each failure found.
+use std::collections::BTreeMap;
+
+use larklink::balancer::Balancer;
+use larklink::types::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SECOND: Time = 10_000;
+const KINDS: [Kind; 5] = [
+    Kind::Repeatable,
+    Kind::OnceOnly,
+    Kind::Referenced { group: Group::All, window: SECOND },
+    Kind::Referenced { group: Group::Zone, window: SECOND },
+    Kind::Referenced { group: Group::Cell, window: SECOND },
+];
+
+fn settings() -> Settings {
+    Settings {
+        listeners: KINDS.map(|kind| Listener { kind, handshake_target: SECOND / 2, utility: 1.0 }).into(),
+        tenant_quota: vec![100.0],
+        over_share_utility: 0.1,
+        group_size: 2.0,
+        weighted: true,
+        on_request: false,
+        must_ask_in: 10 * SECOND,
+        drain_grace: SECOND / 2,
+        start_capacity: 0.2,
+        cold: 20 * SECOND,
+        fall_multiple: 4.0,
+        overload_for: SECOND,
+        connect_timeout: SECOND / 5,
+        max_dials: 4,
+        max_retry_after: SECOND,
+        retry_after: true,
+        probing: true,
+        message_target: 500,
+    }
+}
+
+fn entry(server: ServerIx, state: State, came_up: Time) -> Entry {
+    let (zone, cell) = (server as u16 % 2, server as u16 % 3);
+    Entry { server, id: 77 + 1000 * server as u32, zone, cell, state, weight: 1.0, came_up }
+}
+
+fn ask(key: u64, listener: usize) -> Session {
+    Session { listener, tenant: 0, group_key: key, client_key: 0, patience: 2 * SECOND, mid_flow: false }
+}
+
+fn fleet(set: Settings, servers: usize) -> Balancer {
+    let mut b = Balancer::new(set, 7, 0);
+    let entries: Vec<_> = (0..servers).map(|s| entry(s, State::Ready, 0)).collect();
+    b.heard_list(0, Scope::Cached, &entries);
+    b
+}
+
+fn dialled(verdict: Verdict) -> ServerIx {
+    match verdict {
+        Verdict::Dial { server, .. } => server,
+        other => panic!("expected a dial, got {other:?}"),
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Place { key: u64, listener: usize, mid_flow: bool },
+    Stand(usize),
+    Settle(usize, How),
+    Leave(usize),
+    List { server: ServerIx, state: State, restarts: bool },
+    Delay(usize, Time),
+    Probed(ServerIx, How),
+    Wait(Time),
+}
+
+fn how() -> impl Strategy<Value = How> {
+    use How::*;
+    prop::sample::select(vec![Accepted, Error, Full, Late, Unmade, Broken, CalledOff, Unsent])
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop::sample::select(vec![State::Ready, State::Ready, State::Draining, State::Gone]);
+    prop_oneof![
+        6 => (0..40u64, 0..KINDS.len(), any::<bool>())
+            .prop_map(|(key, listener, mid_flow)| Step::Place { key, listener, mid_flow }),
+        4 => any::<usize>().prop_map(Step::Stand),
+        4 => (any::<usize>(), how()).prop_map(|(n, how)| Step::Settle(n, how)),
+        1 => any::<usize>().prop_map(Step::Leave),
+        1 => (0..6usize, state, any::<bool>())
+            .prop_map(|(server, state, restarts)| Step::List { server, state, restarts }),
+        1 => (any::<usize>(), 0..2_000u64).prop_map(|(n, d)| Step::Delay(n, d)),
+        1 => (0..6usize, how()).prop_map(|(server, how)| Step::Probed(server, how)),
+        3 => (1..SECOND).prop_map(Step::Wait),
+    ]
+}
+
+/// What a watcher knows of a session that is not over.
+struct Seen {
+    ask: Session,
+    until: Time,
+    dials: u32,
+    out: Option<(ServerIx, Time)>,
+    stands: bool,
+    /// The first dial that may have run.
+    ran: Option<(ServerIx, Time)>,
+}
+
+struct Watch {
+    balancer: Balancer,
+    now: Time,
+    open: BTreeMap<SessIx, Seen>,
+    told: BTreeMap<ServerIx, Time>,
+}
+
+impl Watch {
+    fn new() -> Self {
+        Self { balancer: fleet(settings(), 6), now: 0, open: BTreeMap::new(), told: BTreeMap::new() }
+    }
+
+    /// The four rules, as far as one proxy can break them.
+    fn check(&mut self, ix: SessIx, verdict: Verdict) {
+        let (now, set) = (self.now, settings());
+        let seen = self.open.get_mut(&ix).expect("a verdict on a session that is over");
+        let kind = KINDS[seen.ask.listener];
+        match verdict {
+            Verdict::Dial { server, limit } => {
+                assert!(seen.out.is_none() && !seen.stands, "two dials out at once");
+                assert!(now + limit <= seen.until && limit > 0, "a dial past the dial timeout");
+                if let Some(told) = self.told.get(&server) {
+                    assert!(now <= told + set.drain_grace, "a dial past the drain grace");
+                }
+                if let Some((first, sent)) = seen.ran {
+                    let (a, b) = (entry(first, State::Ready, 0), entry(server, State::Ready, 0));
+                    match kind {
+                        Kind::Repeatable => {}
+                        Kind::OnceOnly => panic!("a once-only session that may have run was sent again"),
+                        Kind::Referenced { group, window } => {
+                            assert!(now < sent + window, "sent again after the window");
+                            assert!(group != Group::Zone || a.zone == b.zone, "sent outside its zone");
+                            assert!(group != Group::Cell || a.cell == b.cell, "sent outside its cell");
+                        }
+                    }
+                }
+                seen.dials += 1;
+                assert!(seen.dials <= set.max_dials, "too many dials");
+                seen.out = Some((server, now));
+            }
+            Verdict::Wait => assert!(now < seen.until, "waits past the dial timeout"),
+            Verdict::Refuse { retry_after } => {
+                let harmless = matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. });
+                assert!(seen.ran.is_none() || harmless, "an untrue refusal");
+                assert!(retry_after <= set.max_retry_after);
+                self.open.remove(&ix);
+            }
+            Verdict::TearDown => drop(self.open.remove(&ix)),
+        }
+    }
+
+    fn pick(&self, n: usize, what: impl Fn(&Seen) -> bool) -> Option<SessIx> {
+        let fit: Vec<_> = self.open.iter().filter(|(_, s)| what(s)).map(|(ix, _)| *ix).collect();
+        (!fit.is_empty()).then(|| fit[n % fit.len()])
+    }
+
+    fn settle(&mut self, ix: SessIx, how: How) {
+        let seen = self.open.get_mut(&ix).expect("picked from the open");
+        let (server, sent) = seen.out.take().expect("picked with a dial");
+        if !how.never_ran() {
+            seen.ran.get_or_insert((server, sent));
+        }
+        let over = how == How::Accepted || seen.stands;
+        seen.stands = false;
+        let verdict = self.balancer.settled(self.now, ix, how, self.now - sent, over);
+        match verdict {
+            Some(verdict) => self.check(ix, verdict),
+            None => drop(self.open.remove(&ix)),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Place { key, listener, mid_flow } => {
+                let ask = Session { mid_flow, ..ask(key, listener) };
+                let (ix, verdict) = self.balancer.place(self.now, ask);
+                let until = self.now + ask.patience;
+                let seen = Seen { ask, until, dials: 0, out: None, stands: false, ran: None };
+                assert!(self.open.insert(ix, seen).is_none(), "a handle given twice");
+                self.check(ix, verdict);
+            }
+            Step::Stand(n) => {
+                if let Some(ix) = self.pick(n, |s| s.out.is_some() && !s.stands) {
+                    let seen = self.open.get_mut(&ix).expect("picked from the open");
+                    seen.stands = true;
+                    self.balancer.stood(self.now, ix, self.now - seen.out.expect("picked with a dial").1);
+                }
+            }
+            Step::Settle(n, how) => {
+                if let Some(ix) = self.pick(n, |s| s.out.is_some()) {
+                    self.settle(ix, how);
+                }
+            }
+            Step::Leave(n) => {
+                if let Some(ix) = self.pick(n, |_| true) {
+                    self.balancer.left(ix);
+                    self.open.remove(&ix);
+                }
+            }
+            Step::List { server, state, restarts } => {
+                let line = entry(server, state, if restarts { self.now } else { 0 });
+                self.balancer.heard_list(self.now, Scope::Changes, &[line]);
+                match state {
+                    State::Ready => drop(self.told.remove(&server)),
+                    _ => drop(self.told.entry(server).or_insert(self.now)),
+                }
+            }
+            Step::Delay(n, d) => {
+                if let Some(ix) = self.pick(n, |s| s.stands) {
+                    self.balancer.noted(self.now, ix, Note::Delay(d));
+                }
+            }
+            Step::Probed(server, how) => self.balancer.probed(self.now, server, how),
+            Step::Wait(span) => {
+                let end = self.now + span;
+                while self.now < end {
+                    let next =
+                        self.open.values().filter(|s| s.out.is_some() && !s.stands).map(|s| s.until).min();
+                    self.now = end.min(self.balancer.due()).min(next.unwrap_or(end)).max(self.now + 1);
+                    while let Some(ix) = self.pick(0, |s| s.out.is_some() && !s.stands && s.until <= self.now)
+                    {
+                        self.settle(ix, How::Late);
+                    }
+                    self.chores();
+                }
+            }
+        }
+        self.chores();
+        for s in self.open.values().filter(|s| !s.stands) {
+            assert!(self.now <= s.until, "a session without its answer past its dial timeout");
+        }
+    }
+
+    fn chores(&mut self) {
+        for chore in self.balancer.chores(self.now) {
+            match chore {
+                Chore::Answer(ix, verdict) => self.check(ix, verdict),
+                Chore::Move(ix) => {
+                    assert!(self.open.remove(&ix).expect("moved while open").stands, "moved before it stood");
+                    self.balancer.left(ix);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn rules_hold_after_every_step(steps in prop::collection::vec(step(), 1..200)) {
+        let mut watch = Watch::new();
+        for step in steps {
+            watch.step(step);
+        }
+    }
+
+    #[test]
+    fn only_the_buckets_of_a_changed_server_move(gone in 0..8usize, keys in prop::collection::vec(1..u64::MAX, 50)) {
+        for key in keys {
+            let before = dialled(fleet(settings(), 8).place(0, ask(key, 0)).1);
+            let mut b = fleet(settings(), 8);
+            b.heard_list(0, Scope::Changes, &[entry(gone, State::Gone, 0)]);
+            let after = dialled(b.place(0, ask(key, 0)).1);
+            prop_assert!(after != gone && (after == before || before == gone));
+        }
+    }
+}
+
+#[test]
+fn two_proxies_with_one_list_agree_whatever_its_order() {
+    let entries: Vec<_> = (0..8).map(|s| entry(s, State::Ready, 0)).collect();
+    let turned: Vec<_> = entries.iter().rev().copied().collect();
+    for key in 1..200 {
+        let mut first = Balancer::new(settings(), 1, 0);
+        let mut second = Balancer::new(settings(), 2, 0);
+        first.heard_list(0, Scope::Cached, &entries);
+        second.heard_list(0, Scope::Cached, &turned);
+        assert_eq!(dialled(first.place(0, ask(key, 0)).1), dialled(second.place(0, ask(key, 0)).1));
+    }
+}
+
+#[test]
+fn an_owner_clearly_above_the_mean_is_passed_over() {
+    let mut b = fleet(settings(), 8);
+    let mut count = [0; 8];
+    for _ in 0..80 {
+        count[dialled(b.place(0, ask(5, 0)).1)] += 1;
+    }
+    assert!(count.iter().max() < Some(&60), "one group stays on one server: {count:?}");
+}
+
+#[test]
+fn a_mid_flow_session_goes_to_the_earlier_owner_of_its_bucket() {
+    let (mut b, early) = (fleet(settings(), 8), dialled(fleet(settings(), 8).place(0, ask(9, 0)).1));
+    let now = 60 * SECOND;
+    b.heard_list(now, Scope::Changes, &[entry(early, State::Draining, 0)]);
+    let moved = Session { mid_flow: true, ..ask(9, 0) };
+    assert_eq!(dialled(b.place(now + SECOND / 10, moved).1), early);
+    assert_ne!(dialled(b.place(now + SECOND, moved).1), early);
+}
+
+#[test]
+fn without_servers_a_session_is_refused_at_once() {
+    let mut b = Balancer::new(settings(), 7, 0);
+    assert!(matches!(b.place(0, ask(1, 1)).1, Verdict::Refuse { .. }));
+}
+
+#[test]
+fn sessions_are_moved_off_a_silent_server() {
+    let mut b = fleet(settings(), 4);
+    let (ix, verdict) = b.place(0, ask(3, 0));
+    b.stood(10, ix, 10);
+    for _ in 0..2 {
+        b.probed(20, dialled(verdict), How::Late);
+    }
+    assert!(b.chores(5 * SECOND).contains(&Chore::Move(ix)));
+}
+
+#[test]
+fn a_crowded_server_gives_up_a_session_and_takes_none_back() {
+    let mut b = fleet(settings(), 2);
+    let placed: Vec<_> = (0..20).map(|_| b.place(0, ask(3, 0))).collect();
+    placed.iter().for_each(|(ix, _)| b.stood(10, *ix, 10));
+    let crowded = dialled(placed[0].1);
+    b.noted(20, placed[0].0, Note::Delay(400));
+    let moved = b.chores(SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).count();
+    assert!((1..=2).contains(&moved), "moved {moved}");
+    assert_ne!(dialled(b.place(SECOND, ask(3, 0)).1), crowded);
+}
+
+#[test]
+fn clients_of_a_dropped_session_do_not_refill_its_server() {
+    let mut b = fleet(settings(), 1);
+    let placed: Vec<_> = (0..20).map(|_| b.place(0, ask(3, 0)).0).collect();
+    placed.iter().for_each(|ix| b.stood(10, *ix, 10));
+    assert_eq!(b.settled(20, placed[0], How::Broken, 10, true), None);
+    assert!(matches!(b.place(30, ask(3, 0)).1, Verdict::Refuse { .. }));
+}
+
+#[test]
+fn errors_of_the_store_hold_back_further_dials() {
+    let mut b = fleet(settings(), 8);
+    let placed: Vec<_> = (1..21).map(|key| b.place(0, ask(key, 1)).0).collect();
+    for ix in &placed[..10] {
+        assert_eq!(b.settled(100, *ix, How::Error, 100, false), Some(Verdict::TearDown));
+    }
+    assert!(!matches!(b.place(100, ask(99, 1)).1, Verdict::Dial { .. }));
+}
+
+#[test]
+fn a_cold_server_gets_little_under_a_mass_reconnect() {
+    let mut b = fleet(settings(), 4);
+    for key in 1..81 {
+        b.place(0, ask(key, 0));
+    }
+    let now = 60 * SECOND;
+    b.heard_list(now, Scope::Changes, &[entry(0, State::Ready, now)]);
+    let sent = (100..400).filter(|key| dialled(b.place(now + SECOND, ask(*key, 0)).1) == 0).count();
+    assert!(sent <= 2, "{sent} sessions to a server that has just started");
+}
+
+#[test]
+fn a_failed_list_call_is_made_again_in_time() {
+    let set = Settings { on_request: true, ..settings() };
+    let mut b = fleet(set.clone(), 3);
+    assert!(b.chores(0).contains(&Chore::Subscribe));
+    b.list_failed(SECOND);
+    assert!(b.due() < SECOND + set.must_ask_in);
+    assert!(b.chores(SECOND + set.must_ask_in).contains(&Chore::Subscribe));
+}
