--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -19,25 +19,30 @@
 
 /// Buckets of the table, alike at every proxy.
 const BUCKETS: u64 = 4096;
-/// "Clearly more than the mean": so many times it, and one connection on top for chance.
-const CROWDED: f64 = 1.3;
-/// A server that we hold sessions on is probed when it has said nothing for so many connect time-outs.
+/// "Clearly more than the mean": so many times it, and one session on top for chance.
+const CLEARLY: f64 = 1.3;
+/// A ready server is probed when nothing was heard of it for so many connect time-outs.
 const QUIET: u64 = 8;
-/// Housekeeping comes round once in this share of a connect time-out.
-const ROUNDS: u64 = 1;
 /// Failures in a row, with no sign of life between, after which a server counts as silent.
 const SILENT: u32 = 2;
-/// Share of a silent server's sessions that is moved off in one round.
+/// Share of a silent server's sessions that is moved off it each connect time-out.
 const MOVED: f64 = 0.25;
-/// Share of a crowded server's sessions that is moved off it at a time.
+/// A delay note comes once a second while messages take long: how long one holds, and how often it moves sessions.
+const NOTE: Time = 10_000;
+/// Share of a crowded server's load that is moved off it each time.
 const EASED: f64 = 0.08;
-/// Of what a server held when it dropped a session, the share that it is held to thereafter.
+/// Of the load a server had when it dropped a session, the share that it is held to thereafter.
 const SHED: f64 = 0.9;
-/// That cap grows by this share each message target times a hundred.
+/// That cap grows back by this share a second.
 const REGROW: f64 = 0.05;
-
+/// An error of the session store leaves this share of the dials out.
+const CUT: f64 = 0.7;
+/// A dial may take so many times what setting up took of late.
+const PATIENT: f64 = 6.0;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
 const MEMORY: f64 = 256.0;
+/// The most successes that speak for a server.
+const TRUSTED: f64 = 8.0;
 
 /// All that is known of one server.
 #[derive(Clone, Debug)]
@@ -45,34 +50,67 @@
     entry: Entry,
     /// When we were told that it drains or is gone.
     told: Option<Time>,
-    /// When it joined the ready servers of our list.
+    /// When it joined our list; 0 if it stood there from the first.
     joined: Time,
-    /// Sessions of ours that stand there or are being dialled.
+    /// Sessions of ours that stand there or are being dialled, and their load in mean loads of a session.
     held: u32,
-    /// Their load, in mean loads of a session.
     load: f64,
-    /// Evidence of its health, the prior included.
+    /// The posterior of its chance of success: successes and failures, the prior included.
     good: f64,
     bad: f64,
     /// Failures since its last sign of life.
     misses: u32,
     heard: Time,
-    probed: Option<Time>,
-    /// Up to when it counts as crowded.
+    probed: Time,
+    /// Up to when it counts as crowded, and when sessions were last moved off it for that.
     crowded: Time,
-    /// When sessions were last moved off it for that.
     eased: Time,
-    /// The most sessions of ours that it bears, learned from those it dropped.
+    /// The most load of ours that it bears, learned from the sessions it dropped.
     cap: f64,
-    /// Sends that its cold budget still allows.
+    /// Dials out to it, and how many may be while it is fresh: one more for each answer.
+    out: f64,
+    trust: f64,
+    /// Sends that its cold budget still allows, counted up to when.
     budget: f64,
-    refilled: Time,
+    counted: Time,
 }
 
 impl Server {
+    fn new(entry: Entry, joined: Time, now: Time) -> Self {
+        let (good, bad, cap, trust) = (2.0, 1.0, f64::INFINITY, f64::INFINITY);
+        let (told, held, load, out, budget, counted) = (None, 0, 0.0, 0.0, 0.0, now);
+        let (misses, heard, probed, crowded, eased) = (0, now, 0, 0, 0);
+        Self {
+            entry,
+            told,
+            joined,
+            held,
+            load,
+            good,
+            bad,
+            misses,
+            heard,
+            probed,
+            crowded,
+            eased,
+            cap,
+            out,
+            trust,
+            budget,
+            counted,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.state == State::Ready
+    }
+
     fn alive(&mut self, now: Time) {
+        if self.misses >= SILENT {
+            self.trust = 1.0;
+        }
         (self.heard, self.misses, self.bad) = (now, 0, 1.0);
-        self.good = (self.good + 1.0).min(8.0);
+        self.good = (self.good + 1.0).min(TRUSTED);
     }
 
     fn missed(&mut self) {
@@ -81,6 +119,12 @@
         self.good = 1.0 + (self.good - 1.0) / 2.0;
     }
 
+    /// Its process has started anew: what was learned of the old one is void.
+    fn restart(&mut self, now: Time) {
+        (self.bad, self.misses, self.heard, self.crowded) = (1.0, 0, now, 0);
+        (self.cap, self.trust, self.budget, self.counted) = (f64::INFINITY, 1.0, 0.0, now);
+    }
+
     fn take(&mut self, load: f64) {
         (self.held, self.load) = (self.held + 1, self.load + load);
     }
@@ -89,10 +133,6 @@
         self.held = self.held.saturating_sub(1);
         self.load = if self.held == 0 { 0.0 } else { (self.load - load).max(0.0) };
     }
-
-    fn ready(&self) -> bool {
-        self.entry.state == State::Ready
-    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -108,14 +148,23 @@
     bucket: u64,
     /// When the client gives up.
     until: Time,
+    phase: Phase,
+    /// Since when it waits, or when its latest dial was sent, and where to.
+    since: Time,
     server: ServerIx,
     dials: u32,
-    phase: Phase,
-    /// Its load in mean loads of a session: what was told, else its listener's mean.
+    /// In mean loads of a session: what was told of it, else its listener's mean.
     load: f64,
     /// The first dial that may have run: its server and when it was sent.
     may_have_run: Option<(ServerIx, Time)>,
-    sent: Time,
+}
+
+/// What differs by listener.
+struct Row {
+    kind: Kind,
+    handshake_target: Time,
+    /// The mean load of its sessions.
+    load: f64,
 }
 
 /// Weighted rendezvous: a server's claim on a bucket is -weight / ln(hash of bucket and id as a share of 1).
@@ -127,191 +176,131 @@
     -weight / share.ln()
 }
 
-/// What differs by listener.
-struct Row {
-    kind: Kind,
-    handshake_target: Time,
-    /// Its mean load, in mean loads of a session.
-    load: f64,
-}
-
 pub struct Balancer {
     set: Settings,
     rows: Vec<Row>,
-    /// The mean load that was told, and by how many notes.
-    unit: f64,
-    told: f64,
     rng: ChaCha8Rng,
     servers: Vec<Option<Server>>,
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
     table: BTreeMap<u64, Vec<ServerIx>>,
-    /// Dials out, and how many may be while the session store answers with errors.
+    /// The mean load that was told, and by how many notes.
+    unit: f64,
+    notes: f64,
+    /// What setting up takes of late, over all servers.
+    setup: f64,
+    /// Dials out, how many may be while the session store answers with errors, and who waits for a turn.
     out: f64,
     window: f64,
-    /// Sessions that wait for their turn in it.
     waiting: VecDeque<SessIx>,
     /// Where setting up last ended in an error.
     failed_at: Option<ServerIx>,
-    /// What setting up takes of late, over all servers.
-    setup: f64,
     next_round: Time,
-    next_ask: Option<Time>,
-    started: Time,
+    next_ask: Time,
     logs: Vec<Chore>,
 }
 
 impl Balancer {
     pub fn new(set: Settings, seed: u64, now: Time) -> Self {
         let row = |l: &Listener| Row { kind: l.kind, handshake_target: l.handshake_target, load: 1.0 };
-        let rows = set.listeners.iter().map(row).collect();
-        let (unit, told) = (0.0, 0.0);
-        let next_ask = set.on_request.then_some(now);
-        let rng = ChaCha8Rng::seed_from_u64(seed);
-        let (servers, sessions, table) = (Vec::new(), Slab::new(), BTreeMap::new());
-        let (setup, logs) = (0.0, Vec::new());
-        let (out, window) = (0.0, f64::INFINITY);
         Self {
+            rows: set.listeners.iter().map(row).collect(),
+            next_ask: if set.on_request { now } else { Time::MAX },
             set,
-            rows,
-            unit,
-            told,
-            rng,
-            servers,
-            sessions,
-            table,
-            out,
-            window,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            servers: Vec::new(),
+            sessions: Slab::new(),
+            table: BTreeMap::new(),
+            unit: 0.0,
+            notes: 0.0,
+            setup: 0.0,
+            out: 0.0,
+            window: f64::INFINITY,
             waiting: VecDeque::new(),
             failed_at: None,
-            setup,
             next_round: now,
-            next_ask,
-            started: now,
-            logs,
+            logs: Vec::new(),
         }
     }
 
     /// The server list, or what changed in it.
     pub fn heard_list(&mut self, now: Time, scope: Scope, entries: &[Entry]) {
         if scope != Scope::Changes {
-            for s in self.servers.iter_mut().flatten() {
-                if s.ready() && !entries.iter().any(|e| e.server == s.entry.server) {
-                    (s.entry.state, s.told) = (State::Gone, Some(now));
-                }
+            let missing = |s: &&mut Server| s.ready() && !entries.iter().any(|e| e.server == s.entry.server);
+            for s in self.servers.iter_mut().flatten().filter(missing) {
+                (s.entry.state, s.told) = (State::Gone, Some(now));
             }
         }
         for &entry in entries {
             if self.servers.len() <= entry.server {
                 self.servers.resize(entry.server + 1, None);
             }
-            let fresh = Server {
-                entry,
-                told: None,
-                joined: now,
-                held: 0,
-                load: 0.0,
-                good: 2.0,
-                bad: 1.0,
-                misses: 0,
-                heard: now,
-                probed: None,
-                crowded: 0,
-                eased: 0,
-                cap: f64::INFINITY,
-                budget: 0.0,
-                refilled: now,
-            };
-            let s = self.servers[entry.server].get_or_insert(fresh);
-            let was_ready = s.ready();
+            let joined = if scope == Scope::Cached { 0 } else { now };
+            let s = self.servers[entry.server].get_or_insert_with(|| Server::new(entry, joined, now));
             if entry.came_up > s.entry.came_up {
-                (s.budget, s.refilled, s.misses, s.bad, s.heard) = (0.0, now, 0, 1.0, now);
-                s.cap = f64::INFINITY;
+                s.restart(now);
             }
-            s.entry = entry;
-            match (was_ready, s.ready()) {
-                (false, true) => (s.told, s.joined) = (None, now),
-                (true, false) => s.told = Some(now),
-                (false, false) => s.told = s.told.or(Some(now)),
-                (true, true) => {}
+            if entry.state == State::Ready && !s.ready() {
+                s.joined = now;
             }
+            s.entry = entry;
+            s.told = if s.ready() { None } else { s.told.or(Some(now)) };
         }
         self.table.clear();
-        if scope == Scope::Whole {
-            self.next_ask = self.next_ask.map(|_| Time::MAX);
+        if scope != Scope::Cached {
+            // Any answer shows that the subscription stands; its break will be told.
+            self.next_ask = Time::MAX;
         }
     }
 
-    /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance.
+    /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance so that the
+    /// proxies do not come back together, and well before this one counts as told of what it could not hear.
     pub fn list_failed(&mut self, now: Time) {
         if self.set.on_request {
-            let wait = self.set.must_ask_in / 8;
-            self.next_ask = Some(now + self.rng.random_range(wait / 4..=wait));
+            let most = self.set.must_ask_in / 8;
+            self.next_ask = now + self.rng.random_range(most / 4..=most);
         }
     }
 
     /// A connection that already runs through this proxy.
     pub fn adopt(&mut self, now: Time, ask: Session, server: ServerIx) -> SessIx {
-        let load = self.rows[ask.listener].load;
-        let bucket = self.bucket(&ask);
+        let ix = self.enter(now, ask);
+        let sess = &mut self.sessions[ix];
+        (sess.phase, sess.server, sess.dials) = (Phase::Stands, server, 1);
+        let load = sess.load;
         if let Some(s) = self.server(server) {
             s.take(load);
         }
-        let until = now + ask.patience;
-        let sess = Sess {
-            ask,
-            bucket,
-            until,
-            server,
-            dials: 1,
-            phase: Phase::Stands,
-            load,
-            may_have_run: None,
-            sent: now,
-        };
-        self.sessions.insert(sess)
+        ix
     }
 
     /// Where to send this one.
     pub fn place(&mut self, now: Time, ask: Session) -> (SessIx, Verdict) {
-        let (bucket, load) = (self.bucket(&ask), self.rows[ask.listener].load);
-        let until = now + ask.patience;
-        let sess = Sess {
-            ask,
-            bucket,
-            until,
-            server: 0,
-            dials: 0,
-            phase: Phase::Waits,
-            load,
-            may_have_run: None,
-            sent: now,
-        };
-        let ix = self.sessions.insert(sess);
-        let verdict = self.next(now, ix);
-        (ix, verdict)
+        let ix = self.enter(now, ask);
+        (ix, self.next(now, ix))
     }
 
     /// A dial or a connection ended. Where the session is not over, says what comes next.
     pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
-        let (server, stood, sent, load) = (sess.server, sess.phase == Phase::Stands, sess.sent, sess.load);
+        let (server, load, stood) = (sess.server, sess.load, sess.phase == Phase::Stands);
         sess.phase = Phase::Waits;
+        if !how.never_ran() {
+            sess.may_have_run.get_or_insert((server, sess.since));
+        }
         if !stood {
             self.out -= 1.0;
-            if how == How::Error {
-                self.store_failed(server);
+            match how {
+                How::Error => self.store_failed(server),
+                How::Late => self.setup += (took as f64 - self.setup) / 4.0,
+                _ => {}
             }
         }
-        let sess = self.sessions.get_mut(ix)?;
-        if !how.never_ran() {
-            sess.may_have_run.get_or_insert((server, sent));
-        }
         if let Some(s) = self.server(server) {
             s.release(load);
+            s.out -= f64::from(u8::from(!stood));
             match how {
-                How::Accepted => s.alive(now),
-                How::Full => s.alive(now),
+                How::Accepted | How::Full => s.alive(now),
                 // A crowded server drops sessions, whose clients come again at once and crowd it further: take
                 // that for the most that it bears, so that the drops are not made good there.
                 How::Broken if stood => {
@@ -323,11 +312,8 @@
                 How::CalledOff | How::Unsent => {}
             }
         }
-        if how == How::Late && !stood {
-            self.setup += (took as f64 - self.setup) / 4.0;
-        }
         if over {
-            self.sessions.try_remove(ix);
+            self.sessions.remove(ix);
             return None;
         }
         Some(self.next(now, ix))
@@ -337,11 +323,12 @@
     pub fn stood(&mut self, now: Time, ix: SessIx, took: Time) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
-        self.out -= 1.0;
         let server = sess.server;
-        self.window += 1.0 / self.window.max(1.0);
+        self.out -= 1.0;
+        self.window += 1.0 / self.window;
         self.setup += (took as f64 - self.setup) / 4.0;
         if let Some(s) = self.server(server) {
+            (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
             s.alive(now);
         }
     }
@@ -349,98 +336,95 @@
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
         let Some(sess) = self.sessions.try_remove(ix) else { return };
-        match sess.phase {
-            Phase::Waits => return self.waiting.retain(|&w| w != ix),
-            Phase::Dials => self.out -= 1.0,
-            Phase::Stands => {}
-        }
-        if let Some(s) = self.server(sess.server) {
+        let dials = f64::from(u8::from(sess.phase == Phase::Dials));
+        self.out -= dials;
+        self.waiting.retain(|&w| w != ix);
+        if sess.phase != Phase::Waits
+            && let Some(s) = self.server(sess.server)
+        {
+            s.out -= dials;
             s.release(sess.load);
         }
     }
 
+    /// Word on an open connection.
     pub fn noted(&mut self, now: Time, ix: SessIx, note: Note) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
-        let mut change = 0.0;
+        let (server, before) = (sess.server, sess.load);
         if let Note::Load(load) = note {
-            self.told = (self.told + 1.0).min(MEMORY);
-            self.unit += (load - self.unit) / self.told;
-            let (load, row) = (load / self.unit, &mut self.rows[sess.ask.listener]);
-            row.load += (load - row.load) / MEMORY.sqrt();
-            change = load - sess.load;
-            sess.load = load;
+            self.notes = (self.notes + 1.0).min(MEMORY);
+            self.unit += (load - self.unit) / self.notes;
+            sess.load = if self.unit > 0.0 { load / self.unit } else { 1.0 };
+            let row = &mut self.rows[sess.ask.listener];
+            row.load += (sess.load - row.load) / MEMORY.sqrt();
         }
-        let (server, target) = (sess.server, self.set.message_target);
+        let (change, target) = (sess.load - before, self.set.message_target);
         let Some(s) = self.server(server) else { return };
         s.alive(now);
-        match note {
-            Note::Delay(d) if d > target / 2 => s.crowded = now + 15_000,
-            Note::Delay(_) => s.crowded = 0,
-            Note::Load(_) => s.load = (s.load + change).max(0.0),
+        s.load = (s.load + change).max(0.0);
+        if let Note::Delay(delay) = note {
+            s.crowded = if delay > target / 2 { now + NOTE * 3 / 2 } else { 0 };
         }
     }
 
     pub fn probed(&mut self, now: Time, server: ServerIx, how: How) {
         let Some(s) = self.server(server) else { return };
-        s.probed = None;
         match how {
             How::Accepted | How::Full => s.alive(now),
             How::Unmade | How::Late | How::Broken => s.missed(),
-            _ => {}
+            How::Error | How::CalledOff | How::Unsent => {}
         }
     }
 
     /// When [`Balancer::chores`] wants to be called next.
     pub fn due(&self) -> Time {
-        self.next_ask.map_or(self.next_round, |t| t.min(self.next_round))
+        self.next_ask.min(self.next_round)
     }
 
-    /// Housekeeping: asks for the list, probes the quiet, moves sessions off the silent.
+    /// Housekeeping: calls those who wait, asks for the list, probes the quiet, moves sessions off servers.
     pub fn chores(&mut self, now: Time) -> Vec<Chore> {
         let mut out = std::mem::take(&mut self.logs);
-        if self.next_ask.is_some_and(|t| t <= now) {
-            self.next_ask = Some(now + self.set.must_ask_in / 2);
+        if self.next_ask <= now {
+            self.next_ask = now + self.set.must_ask_in / 2;
             out.push(Chore::Subscribe);
         }
         while self.out < self.window
             && let Some(ix) = self.waiting.pop_front()
         {
-            let verdict = self.next(now, ix);
-            out.push(Chore::Answer(ix, verdict));
+            out.push(Chore::Answer(ix, self.next(now, ix)));
         }
         if now < self.next_round {
             return out;
         }
-        let round = self.set.connect_timeout / ROUNDS;
-        let late = |x: &Sess| {
-            now >= x.sent + self.rows[x.ask.listener].handshake_target || now + 2 * round >= x.until
-        };
-        let (given_up, waiting): (Vec<_>, Vec<_>) =
-            self.waiting.iter().partition(|&&ix| late(&self.sessions[ix]));
-        self.waiting = waiting.into();
-        out.extend(given_up.into_iter().map(|ix| Chore::Answer(ix, self.give_up(ix))));
+        let round = self.set.connect_timeout;
         self.next_round = now + round;
+        // Whoever has waited its handshake target out is given up, and answered at once.
+        let rows = &self.rows;
+        let late =
+            |x: &Sess| now >= x.since + rows[x.ask.listener].handshake_target || now + 2 * round >= x.until;
+        let late: Vec<_> = self.waiting.iter().copied().filter(|&ix| late(&self.sessions[ix])).collect();
+        self.waiting.retain(|ix| !late.contains(ix));
+        out.extend(late.into_iter().map(|ix| Chore::Answer(ix, self.give_up(ix))));
         for ix in 0..self.servers.len() {
-            let (quiet, probing) = (self.set.connect_timeout * QUIET, self.set.probing);
-            let regrow = 1.0 + REGROW * round as f64 / 10_000.0;
+            let (quiet, probing) = (round * QUIET, self.set.probing);
             let Some(s) = self.server(ix) else { continue };
-            s.cap *= regrow;
+            s.cap *= 1.0 + REGROW * round as f64 / NOTE as f64;
             if !s.ready() {
                 continue;
             }
             let wait = if s.misses > 0 { quiet / 4 } else { quiet };
-            if probing
-                && s.probed.is_none_or(|t| t + quiet < now)
-                && s.heard.max(s.probed.unwrap_or(0)) + wait <= now
-            {
-                s.probed = Some(now);
+            if probing && s.heard.max(s.probed) + wait <= now {
+                s.probed = now;
                 out.push(Chore::Probe(ix));
             }
             if s.misses >= SILENT && s.held > 0 {
                 // A silent server's sessions hang until the list notices: send their clients elsewhere now.
-                let pace = (s.held as f64 * MOVED).ceil() as usize;
+                let (id, held) = (s.entry.id, s.held);
+                if held as f64 * MOVED >= 1.0 {
+                    out.push(Chore::Log(format!("server {id} is silent: moving {held} sessions off")));
+                }
                 let moved = self.sessions.iter().filter(|(_, x)| x.phase == Phase::Stands && x.server == ix);
-                out.extend(moved.take(pace).map(|(i, _)| Chore::Move(i)));
+                out.extend(moved.take((held as f64 * MOVED).ceil() as usize).map(|(i, _)| Chore::Move(i)));
             } else {
                 self.ease(now, ix, &mut out);
             }
@@ -448,31 +432,31 @@
         out
     }
 
-    /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest claim to it,
-    /// which are the same at every proxy, while some other server has room. A few at a time: each is set up anew,
-    /// and whole groups at once only carry the crowd to the next server.
+    /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest claim to
+    /// it, which are the same at every proxy, while some other server has room. A few at a time: each is set up
+    /// anew, and whole groups at once only carry the crowd to the next server.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
-        let s = self.servers[ix].as_ref().expect("asked for one that is there");
+        let s = self.at(ix);
         let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
-        if !room || s.crowded <= now || now < s.eased + 10_000 {
+        if !room || s.crowded <= now || now < s.eased + NOTE {
             return;
         }
-        let most = s.load * EASED;
-        let (weight, id) = (self.weight(s), s.entry.id);
-        let mut claims: Vec<(f64, u64, SessIx)> = (self.sessions.iter())
+        let (most, weight, id) = (s.load * EASED, self.weight(s), s.entry.id);
+        let mut claims: Vec<_> = (self.sessions.iter())
             .filter(|(_, x)| x.phase == Phase::Stands && x.server == ix)
-            .map(|(i, x)| (claim(x.bucket, id, weight), x.bucket, i))
+            .map(|(i, x)| (claim(x.bucket, id, weight), i))
             .collect();
-        claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut moved = 0.0;
-        for (_, _, sess) in claims {
+        for (_, sess) in claims {
             if moved >= most {
                 break;
             }
             moved += self.sessions[sess].load;
             out.push(Chore::Move(sess));
         }
-        let s = self.servers[ix].as_mut().expect("as above");
+        let s = self.at_mut(ix);
+        // Held to what it is left with, else new sessions refill it as fast.
         (s.eased, s.cap) = (now, s.cap.min((s.load - moved).max(1.0)));
     }
 
@@ -480,7 +464,11 @@
     /// dial only loads: fewer dials at once. One server alone does not.
     fn store_failed(&mut self, server: ServerIx) {
         if self.failed_at.replace(server).is_some_and(|last| last != server) {
-            self.window = (self.window.min(self.out + 1.0) * 0.7).max(1.0);
+            if self.window.is_infinite() {
+                self.logs
+                    .push(Chore::Log("set-ups end in errors on several servers: dials held back".into()));
+            }
+            self.window = (self.window.min(self.out + 1.0) * CUT).max(1.0);
         }
     }
 
@@ -488,56 +476,67 @@
         self.servers.get_mut(ix)?.as_mut()
     }
 
-    /// A session with neither key draws its bucket.
-    fn bucket(&mut self, ask: &Session) -> u64 {
-        match (ask.group_key, ask.client_key) {
+    fn at(&self, ix: ServerIx) -> &Server {
+        self.servers[ix].as_ref().expect("ranked from the records")
+    }
+
+    fn at_mut(&mut self, ix: ServerIx) -> &mut Server {
+        self.servers[ix].as_mut().expect("ranked from the records")
+    }
+
+    fn weight(&self, s: &Server) -> f64 {
+        if self.set.weighted && s.entry.weight > 0.0 { s.entry.weight } else { 1.0 }
+    }
+
+    fn enter(&mut self, now: Time, ask: Session) -> SessIx {
+        // A session with neither key draws its bucket.
+        let bucket = match (ask.group_key, ask.client_key) {
             (0, 0) => self.rng.random_range(0..BUCKETS),
             (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
-        }
+        };
+        let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
+        let (phase, since, server, dials, may_have_run) = (Phase::Waits, now, 0, 0, None);
+        self.sessions.insert(Sess { ask, bucket, until, phase, since, server, dials, load, may_have_run })
     }
 
     /// The servers in the order of their claims on a bucket.
     fn rank(&self, bucket: u64, keep: impl Fn(&Server) -> bool) -> Vec<ServerIx> {
-        let mut scored: Vec<(f64, u32, ServerIx)> = (self.servers.iter().flatten().filter(|s| keep(s)))
+        let mut claims: Vec<_> = (self.servers.iter().flatten().filter(|s| keep(s)))
             .map(|s| (claim(bucket, s.entry.id, self.weight(s)), s.entry.id, s.entry.server))
             .collect();
-        scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        scored.into_iter().map(|(_, _, ix)| ix).collect()
-    }
-
-    fn weight(&self, s: &Server) -> f64 {
-        if self.set.weighted && s.entry.weight > 0.0 { s.entry.weight } else { 1.0 }
+        claims.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        claims.into_iter().map(|(_, _, ix)| ix).collect()
     }
 
     /// Sends a session on, or gives it its final answer at once.
     fn next(&mut self, now: Time, ix: SessIx) -> Verdict {
         let sess = self.sessions[ix].clone();
-        let left = sess.until.saturating_sub(now);
-        let kind = self.rows[sess.ask.listener].kind;
-        let again = match (kind, sess.may_have_run) {
+        let (left, row) = (sess.until.saturating_sub(now), &self.rows[sess.ask.listener]);
+        let target = row.handshake_target;
+        let harmless = match (row.kind, sess.may_have_run) {
             (_, None) | (Kind::Repeatable, _) => true,
             (Kind::Referenced { window, .. }, Some((_, sent))) => now < sent + window,
             (Kind::OnceOnly, _) => false,
         };
-        let target = self.rows[sess.ask.listener].handshake_target;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let again = again && fits && sess.dials < self.set.max_dials;
+        let again = harmless && fits && sess.dials < self.set.max_dials;
         if again && self.out >= self.window {
             // Its turn is to come within its handshake target, else it is given up now.
             let turn = self.setup * (self.waiting.len() + 1) as f64 / self.window;
             if turn < target.min(left) as f64 {
                 self.waiting.push_back(ix);
-                self.sessions[ix].sent = now;
+                self.sessions[ix].since = now;
                 return Verdict::Wait;
             }
         } else if again && let Some(server) = self.choose(now, &sess) {
-            let limit = target.max((6.0 * self.setup) as Time).min(left);
-            let s = self.server(server).expect("chosen from the records");
-            s.take(sess.load);
-            s.budget -= 1.0;
+            // One dial's time-out leaves room for another; a store that is slow for all wants more than that.
+            let limit = target.max((PATIENT * self.setup) as Time).min(left);
             self.out += 1.0;
+            let s = self.at_mut(server);
+            s.take(sess.load);
+            (s.out, s.budget) = (s.out + 1.0, s.budget - 1.0);
             let x = &mut self.sessions[ix];
-            (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
+            (x.phase, x.server, x.since, x.dials) = (Phase::Dials, server, now, x.dials + 1);
             return Verdict::Dial { server, limit };
         }
         self.give_up(ix)
@@ -547,9 +546,9 @@
     fn give_up(&mut self, ix: SessIx) -> Verdict {
         let sess = self.sessions.remove(ix);
         let kind = self.rows[sess.ask.listener].kind;
-        let harmless = sess.may_have_run.is_none()
-            || matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. });
-        if !harmless {
+        if sess.may_have_run.is_some()
+            && !matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. })
+        {
             return Verdict::TearDown;
         }
         let wait = (self.set.max_retry_after as f64 * self.rng.random_range(0.25..1.0)) as Time;
@@ -558,67 +557,51 @@
 
     /// The first server down the bucket's ranking that nothing speaks against.
     fn choose(&mut self, now: Time, sess: &Sess) -> Option<ServerIx> {
-        let grace = self.set.drain_grace / 2;
-        let ranking = if sess.ask.mid_flow && sess.dials == 0 {
+        if sess.ask.mid_flow && sess.dials == 0 {
             // The earlier owner: one that joined of late did not hold this connection, one that drains may.
-            let keep = self.set.cold;
+            let (grace, keep) = (self.set.drain_grace / 2, self.set.cold);
             let earlier = |s: &Server| match s.told {
                 Some(t) => s.entry.state == State::Draining && now <= t + grace,
-                None => s.joined + keep <= now || s.joined <= self.started,
+                None => s.joined == 0 || s.joined + keep <= now,
             };
-            let old = self.rank(sess.bucket, earlier);
-            let s = old.first().and_then(|&ix| self.servers[ix].as_ref());
-            if let Some(s) = s.filter(|s| s.misses < SILENT) {
-                return Some(s.entry.server);
+            let owner = self.rank(sess.bucket, earlier).first().copied();
+            if let Some(ix) = owner.filter(|&ix| self.at(ix).misses < SILENT) {
+                return Some(ix);
             }
-            self.rank(sess.bucket, Server::ready)
-        } else if let Some(row) = self.table.get(&sess.bucket) {
-            row.clone()
-        } else {
-            let row = self.rank(sess.bucket, Server::ready);
-            self.table.insert(sess.bucket, row.clone());
-            row
-        };
-        let fenced: Vec<ServerIx> = ranking.into_iter().filter(|&ix| self.allowed(sess, ix)).collect();
-        let (mut held, mut weight) = (0.0, 0.0);
-        for s in self.servers.iter().flatten().filter(|s| s.ready()) {
-            held += s.load;
-            weight += self.weight(s);
         }
-        let mean = held / weight;
-        let mut open = Vec::new();
-        let mut last = None;
-        for ix in fenced {
-            let s = self.servers[ix].as_ref().expect("ranked from the records");
-            if s.load + sess.load > s.cap || !self.within_budget(now, ix, mean) {
+        if !self.table.contains_key(&sess.bucket) {
+            self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
+        }
+        let ranking = self.table[&sess.bucket].clone();
+        let ready = self.servers.iter().flatten().filter(|s| s.ready());
+        let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
+        let mean = load / weight;
+        let (mut crowded, mut doubtful) = (Vec::new(), None);
+        for ix in ranking {
+            if !self.allowed(sess, ix) || !self.within_budget(now, ix, mean) {
                 continue;
             }
-            let s = self.servers[ix].as_ref().expect("ranked from the records");
-            if sess.dials > 0 && ix == sess.server {
-                last = last.or(Some(ix));
+            let s = self.at(ix);
+            let (good, bad, most) = (s.good, s.bad, CLEARLY * mean * self.weight(s) + 1.0);
+            if s.load + sess.load > s.cap || s.out >= s.trust {
                 continue;
             }
-            if s.bad > 1.0 {
-                let chance = Beta::new(s.good, s.bad).expect("both above 0").sample(&mut self.rng);
-                if chance < 0.5 {
-                    last = last.or(Some(ix));
-                    continue;
-                }
-            }
-            let s = self.servers[ix].as_ref().expect("ranked from the records");
-            if s.crowded <= now && s.load < CROWDED * mean * self.weight(s) + 1.0 {
+            let full = s.crowded > now || s.load >= most;
+            // A doubtful server's work is drawn from the posterior of its chance of success.
+            let chance = |rng: &mut ChaCha8Rng| Beta::new(good, bad).expect("both above 0").sample(rng);
+            if sess.dials > 0 && ix == sess.server || bad > 1.0 && chance(&mut self.rng) < 0.5 {
+                doubtful = doubtful.or(Some(ix));
+            } else if full {
+                crowded.push(ix);
+            } else {
                 return Some(ix);
             }
-            open.push(ix);
         }
-        // All are crowded: the least so of the first two, ties by chance.
-        open.truncate(2);
-        open.shuffle(&mut self.rng);
-        let load = |ix: &ServerIx| {
-            let s = self.servers[*ix].as_ref().expect("ranked from the records");
-            s.load / self.weight(s)
-        };
-        open.into_iter().min_by(|a, b| load(a).total_cmp(&load(b))).or(last)
+        // All are crowded: the less so of the first two, ties by chance.
+        crowded.truncate(2);
+        crowded.shuffle(&mut self.rng);
+        let share = |ix: &ServerIx| self.at(*ix).load / self.weight(self.at(*ix));
+        crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful)
     }
 
     /// A session that may have run goes again only to servers that drop its repeats.
@@ -638,16 +621,16 @@
     /// warm-up.
     fn within_budget(&mut self, now: Time, ix: ServerIx, mean: f64) -> bool {
         let (cold, start, multiple) = (self.set.cold, self.set.start_capacity, self.set.fall_multiple);
-        let (span, s) = (self.set.overload_for as f64, self.servers[ix].as_ref().expect("ranked"));
-        let (fill, age) = (mean * self.weight(s), now.saturating_sub(s.entry.came_up));
+        let (span, fill) = (self.set.overload_for as f64, mean * self.weight(self.at(ix)));
+        let s = self.at_mut(ix);
+        let age = now.saturating_sub(s.entry.came_up);
         if s.entry.came_up == 0 || age >= cold {
             return true;
         }
         let share = start + (1.0 - start) * age as f64 / cold as f64;
         let rate = multiple * share * fill / cold as f64;
-        let s = self.servers[ix].as_mut().expect("ranked");
-        s.budget = (s.budget + rate * (now - s.refilled) as f64).min(1.0 + rate * span);
-        s.refilled = now;
+        s.budget = (s.budget + rate * (now - s.counted) as f64).min(1.0 + rate * span);
+        s.counted = now;
         s.budget >= 1.0 && s.load < share * fill + 1.0
     }
 }
