--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -33,8 +33,12 @@
 const EASED: f64 = 0.08;
 /// Of the load a server had when it dropped a session, the share that it is held to thereafter.
 const SHED: f64 = 0.9;
+/// But never to less than this load: one that has to grow first before the next session fits.
+const LEAST: f64 = 0.5;
 /// That cap grows back by this share a second.
 const REGROW: f64 = 0.05;
+/// Failures are forgotten by this share a second.
+const FORGET: f64 = 0.1;
 /// An error of the session store leaves this share of the dials out.
 const CUT: f64 = 0.7;
 /// A dial may take so many times what setting up took of late.
@@ -105,18 +109,31 @@
         self.entry.state == State::Ready
     }
 
-    fn alive(&mut self, now: Time) {
+    /// A sign of life. It shows that the process answers, not that it serves: a server that takes connections and
+    /// drops them again would draw all who come again.
+    fn heard(&mut self, now: Time) {
+        if self.misses > 0 {
+            self.bad = 1.0 + (self.bad - 1.0) / 2.0;
+        }
         if self.misses >= SILENT {
             self.trust = 1.0;
         }
-        (self.heard, self.misses, self.bad) = (now, 0, 1.0);
-        self.good = (self.good + 1.0).min(TRUSTED);
+        (self.heard, self.misses) = (now, 0);
+    }
+
+    fn served(&mut self, now: Time) {
+        self.heard(now);
+        (self.good, self.bad) = ((self.good + 1.0).min(TRUSTED), 1.0 + (self.bad - 1.0) / 2.0);
+    }
+
+    fn failed(&mut self) {
+        (self.good, self.bad) = (1.0 + (self.good - 1.0) / 2.0, (self.bad + 1.0).min(TRUSTED));
     }
 
+    /// Failed, and gave no sign of life either.
     fn missed(&mut self) {
         self.misses += 1;
-        self.bad += 1.0;
-        self.good = 1.0 + (self.good - 1.0) / 2.0;
+        self.failed();
     }
 
     /// Its process has started anew: what was learned of the old one is void.
@@ -300,15 +317,16 @@
             s.release(load);
             s.out -= f64::from(u8::from(!stood));
             match how {
-                How::Accepted | How::Full => s.alive(now),
+                How::Accepted => s.served(now),
+                How::Full => s.heard(now),
                 // A crowded server drops sessions, whose clients come again at once and crowd it further: take
                 // that for the most that it bears, so that the drops are not made good there.
                 How::Broken if stood => {
                     s.missed();
-                    s.cap = s.cap.min((s.load * SHED).max(1.0));
+                    s.cap = s.cap.min(s.load * SHED).max(LEAST);
                 }
                 How::Unmade | How::Broken => s.missed(),
-                How::Late | How::Error => s.bad += 1.0,
+                How::Late | How::Error => s.failed(),
                 How::CalledOff | How::Unsent => {}
             }
         }
@@ -329,7 +347,7 @@
         self.setup += (took as f64 - self.setup) / 4.0;
         if let Some(s) = self.server(server) {
             (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
-            s.alive(now);
+            s.heard(now);
         }
     }
 
@@ -360,7 +378,7 @@
         }
         let (change, target) = (sess.load - before, self.set.message_target);
         let Some(s) = self.server(server) else { return };
-        s.alive(now);
+        s.served(now);
         s.load = (s.load + change).max(0.0);
         if let Note::Delay(delay) = note {
             s.crowded = if delay > target / 2 { now + NOTE * 3 / 2 } else { 0 };
@@ -370,7 +388,7 @@
     pub fn probed(&mut self, now: Time, server: ServerIx, how: How) {
         let Some(s) = self.server(server) else { return };
         match how {
-            How::Accepted | How::Full => s.alive(now),
+            How::Accepted | How::Full => s.heard(now),
             How::Unmade | How::Late | How::Broken => s.missed(),
             How::Error | How::CalledOff | How::Unsent => {}
         }
@@ -408,6 +426,7 @@
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (round * QUIET, self.set.probing);
             let Some(s) = self.server(ix) else { continue };
+            s.bad = 1.0 + (s.bad - 1.0) * (1.0 - FORGET * round as f64 / NOTE as f64);
             s.cap *= 1.0 + REGROW * round as f64 / NOTE as f64;
             if !s.ready() {
                 continue;
@@ -420,7 +439,8 @@
             if s.misses >= SILENT && s.held > 0 {
                 // A silent server's sessions hang until the list notices: send their clients elsewhere now.
                 let (id, held) = (s.entry.id, s.held);
-                if held as f64 * MOVED >= 1.0 {
+                if s.misses == SILENT {
+                    s.misses += 1;
                     out.push(Chore::Log(format!("server {id} is silent: moving {held} sessions off")));
                 }
                 let moved = self.sessions.iter().filter(|(_, x)| x.phase == Phase::Stands && x.server == ix);
@@ -457,7 +477,7 @@
         }
         let s = self.at_mut(ix);
         // Held to what it is left with, else new sessions refill it as fast.
-        (s.eased, s.cap) = (now, s.cap.min((s.load - moved).max(1.0)));
+        (s.eased, s.cap) = (now, s.cap.min(s.load - moved).max(LEAST));
     }
 
     /// Setting up ended in an error. Two servers in turn point at the store behind all of them, which every further
@@ -576,7 +596,7 @@
         let ready = self.servers.iter().flatten().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let mean = load / weight;
-        let (mut crowded, mut doubtful) = (Vec::new(), None);
+        let (mut crowded, mut doubtful, mut capped) = (Vec::new(), None, false);
         for ix in ranking {
             if !self.allowed(sess, ix) || !self.within_budget(now, ix, mean) {
                 continue;
@@ -584,12 +604,13 @@
             let s = self.at(ix);
             let (good, bad, most) = (s.good, s.bad, CLEARLY * mean * self.weight(s) + 1.0);
             if s.load + sess.load > s.cap || s.out >= s.trust {
+                capped = true;
                 continue;
             }
             let full = s.crowded > now || s.load >= most;
             // A doubtful server's work is drawn from the posterior of its chance of success.
             let chance = |rng: &mut ChaCha8Rng| Beta::new(good, bad).expect("both above 0").sample(rng);
-            if sess.dials > 0 && ix == sess.server || bad > 1.0 && chance(&mut self.rng) < 0.5 {
+            if sess.dials > 0 && ix == sess.server || bad > 1.5 && chance(&mut self.rng) < 0.5 {
                 doubtful = doubtful.or(Some(ix));
             } else if full {
                 crowded.push(ix);
@@ -601,7 +622,7 @@
         crowded.truncate(2);
         crowded.shuffle(&mut self.rng);
         let share = |ix: &ServerIx| self.at(*ix).load / self.weight(self.at(*ix));
-        crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful)
+        crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| !capped))
     }
 
     /// A session that may have run goes again only to servers that drop its repeats.
