--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -36,7 +36,7 @@
 /// But never to less than this load: one that has to grow first before the next session fits.
 const LEAST: f64 = 0.5;
 /// That cap grows back by this share a second.
-const REGROW: f64 = 0.05;
+const REGROW: f64 = 0.03;
 /// Failures are forgotten by this share a second.
 const FORGET: f64 = 0.1;
 /// An error of the session store leaves this share of the dials out.
