--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -21,8 +21,10 @@
 const BUCKETS: u64 = 4096;
 /// "Clearly more than the mean": so many times it, and one session on top for chance.
 const CLEARLY: f64 = 1.3;
-/// A ready server is probed when nothing was heard of it for so many connect time-outs.
-const QUIET: u64 = 8;
+/// A server that holds sessions is probed when nothing was heard of it for so many connect time-outs.
+const QUIET: u64 = 16;
+/// And a server that missed once, after so many.
+const DOUBTED: u64 = 2;
 /// Failures in a row, with no sign of life between, after which a server counts as silent.
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off it each connect time-out.
@@ -431,8 +433,8 @@
             if !s.ready() {
                 continue;
             }
-            let wait = if s.misses > 0 { quiet / 4 } else { quiet };
-            if probing && s.heard.max(s.probed) + wait <= now {
+            let wait = if s.misses > 0 { round * DOUBTED } else { quiet };
+            if probing && (s.held > 0 || s.misses > 0) && s.heard.max(s.probed) + wait <= now {
                 s.probed = now;
                 out.push(Chore::Probe(ix));
             }
