End the walk at the third server, further only for groups larger than a server's mean load

Cause: every server that holds any of a group pays for it; caps made sessions walk on until each group stood on many servers, which crowded them further.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -21,6 +21,8 @@
 const BUCKETS: u64 = 4096;
 /// "Clearly more than the mean": so many times it, and one session on top for chance.
 const CLEARLY: f64 = 1.3;
+/// How far a session walks down its bucket's ranking past servers that are there but full.
+const WALK: usize = 3;
 /// A server that holds sessions is probed when nothing was heard of it for so many connect time-outs.
 const QUIET: u64 = 16;
 /// And a server that missed once, after so many.
@@ -599,7 +601,12 @@
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let mean = load / weight;
         let (mut crowded, mut doubtful, mut capped) = (Vec::new(), None, false);
-        for ix in ranking {
+        // Each server that holds any of a group pays for it: the walk ends early, so that a crowd does not scatter
+        // its groups. A group as large as several servers' mean load may walk on by as many.
+        let group: f64 =
+            self.sessions.iter().filter(|(_, x)| x.bucket == sess.bucket).map(|(_, x)| x.load).sum();
+        let depth = WALK + (2.0 * group * ranking.len() as f64 / load.max(1.0)) as usize;
+        for ix in ranking.into_iter().take(depth) {
             if !self.allowed(sess, ix) || !self.within_budget(now, ix, mean) {
                 continue;
             }
