--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -192,7 +192,6 @@
                     self.balancer.left(sess);
                     self.forget(rid);
                 }
-                Chore::Answer(sess, verdict) => self.tell(i, self.rids[&sess], verdict, reply),
                 Chore::Subscribe => reply.act(1040, i, &[&[1]]),
                 Chore::Lookup => reply.act(1000, i, &[]),
                 Chore::Log(text) => reply.say(1030, i, &text),
@@ -213,7 +212,6 @@
                 reply.act(1090, i, &[&id, &self.ids[server].to_le_bytes(), &(limit * 100_000).to_le_bytes()]);
                 return;
             }
-            Verdict::Wait => return,
             Verdict::Refuse { retry_after } => {
                 reply.act(1080, i, &[&id, &(retry_after * 100_000).to_le_bytes()])
             }
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -7,7 +7,7 @@
 //! now; none blocks. The values that go in and out, this module's interface, are defined in `types.rs`.
 //!
 //! The ordinary path is the bucket table of `docs/design.md`; a paragraph there stands for each departure below.
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -53,7 +53,7 @@
 const TRUSTED: f64 = 8.0;
 
 /// All that is known of one server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Server {
     entry: Entry,
     /// When we were told that it drains or is gone.
@@ -86,27 +86,7 @@
 impl Server {
     fn new(entry: Entry, joined: Time, now: Time) -> Self {
         let (good, bad, cap, trust) = (2.0, 1.0, f64::INFINITY, f64::INFINITY);
-        let (told, held, load, out, budget, counted) = (None, 0, 0.0, 0.0, 0.0, now);
-        let (misses, heard, probed, crowded, eased) = (0, now, 0, 0, 0);
-        Self {
-            entry,
-            told,
-            joined,
-            held,
-            load,
-            good,
-            bad,
-            misses,
-            heard,
-            probed,
-            crowded,
-            eased,
-            cap,
-            out,
-            trust,
-            budget,
-            counted,
-        }
+        Self { entry, joined, good, bad, cap, trust, heard: now, counted: now, ..Self::default() }
     }
 
     fn ready(&self) -> bool {
@@ -158,7 +138,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    Waits,
+    Idle,
     Dials,
     Stands,
 }
@@ -170,8 +150,8 @@
     /// When the client gives up.
     until: Time,
     phase: Phase,
-    /// Since when it waits, or when its latest dial was sent, and where to.
-    since: Time,
+    /// When its latest dial was sent, and where to.
+    sent: Time,
     server: ServerIx,
     dials: u32,
     /// In mean loads of a session: what was told of it, else its listener's mean.
@@ -210,10 +190,9 @@
     notes: f64,
     /// What setting up takes of late, over all servers.
     setup: f64,
-    /// Dials out, how many may be while the session store answers with errors, and who waits for a turn.
+    /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
-    waiting: VecDeque<SessIx>,
     /// Where setting up last ended in an error.
     failed_at: Option<ServerIx>,
     next_round: Time,
@@ -237,7 +216,6 @@
             setup: 0.0,
             out: 0.0,
             window: f64::INFINITY,
-            waiting: VecDeque::new(),
             failed_at: None,
             next_round: now,
             logs: Vec::new(),
@@ -305,9 +283,9 @@
     pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
         let (server, load, stood) = (sess.server, sess.load, sess.phase == Phase::Stands);
-        sess.phase = Phase::Waits;
+        sess.phase = Phase::Idle;
         if !how.never_ran() {
-            sess.may_have_run.get_or_insert((server, sess.since));
+            sess.may_have_run.get_or_insert((server, sess.sent));
         }
         if !stood {
             self.out -= 1.0;
@@ -360,8 +338,7 @@
         let Some(sess) = self.sessions.try_remove(ix) else { return };
         let dials = f64::from(u8::from(sess.phase == Phase::Dials));
         self.out -= dials;
-        self.waiting.retain(|&w| w != ix);
-        if sess.phase != Phase::Waits
+        if sess.phase != Phase::Idle
             && let Some(s) = self.server(sess.server)
         {
             s.out -= dials;
@@ -403,30 +380,18 @@
         self.next_ask.min(self.next_round)
     }
 
-    /// Housekeeping: calls those who wait, asks for the list, probes the quiet, moves sessions off servers.
+    /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
     pub fn chores(&mut self, now: Time) -> Vec<Chore> {
         let mut out = std::mem::take(&mut self.logs);
         if self.next_ask <= now {
             self.next_ask = now + self.set.must_ask_in / 2;
             out.push(Chore::Subscribe);
         }
-        while self.out < self.window
-            && let Some(ix) = self.waiting.pop_front()
-        {
-            out.push(Chore::Answer(ix, self.next(now, ix)));
-        }
         if now < self.next_round {
             return out;
         }
         let round = self.set.connect_timeout;
         self.next_round = now + round;
-        // Whoever has waited its handshake target out is given up, and answered at once.
-        let rows = &self.rows;
-        let late =
-            |x: &Sess| now >= x.since + rows[x.ask.listener].handshake_target || now + 2 * round >= x.until;
-        let late: Vec<_> = self.waiting.iter().copied().filter(|&ix| late(&self.sessions[ix])).collect();
-        self.waiting.retain(|ix| !late.contains(ix));
-        out.extend(late.into_iter().map(|ix| Chore::Answer(ix, self.give_up(ix))));
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (round * QUIET, self.set.probing);
             let Some(s) = self.server(ix) else { continue };
@@ -519,8 +484,8 @@
             (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
         };
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
-        let (phase, since, server, dials, may_have_run) = (Phase::Waits, now, 0, 0, None);
-        self.sessions.insert(Sess { ask, bucket, until, phase, since, server, dials, load, may_have_run })
+        let (phase, sent, server, dials, may_have_run) = (Phase::Idle, now, 0, 0, None);
+        self.sessions.insert(Sess { ask, bucket, until, phase, sent, server, dials, load, may_have_run })
     }
 
     /// The servers in the order of their claims on a bucket.
@@ -543,16 +508,8 @@
             (Kind::OnceOnly, _) => false,
         };
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let again = harmless && fits && sess.dials < self.set.max_dials;
-        if again && self.out >= self.window {
-            // Its turn is to come within its handshake target, else it is given up now.
-            let turn = self.setup * (self.waiting.len() + 1) as f64 / self.window;
-            if turn < target.min(left) as f64 {
-                self.waiting.push_back(ix);
-                self.sessions[ix].since = now;
-                return Verdict::Wait;
-            }
-        } else if again && let Some(server) = self.choose(now, &sess) {
+        let again = harmless && fits && sess.dials < self.set.max_dials && self.out < self.window;
+        if again && let Some(server) = self.choose(now, &sess) {
             // One dial's time-out leaves room for another; a store that is slow for all wants more than that.
             let limit = target.max((PATIENT * self.setup) as Time).min(left);
             self.out += 1.0;
@@ -560,7 +517,7 @@
             s.take(sess.load);
             (s.out, s.budget) = (s.out + 1.0, s.budget - 1.0);
             let x = &mut self.sessions[ix];
-            (x.phase, x.server, x.since, x.dials) = (Phase::Dials, server, now, x.dials + 1);
+            (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
             return Verdict::Dial { server, limit };
         }
         self.give_up(ix)
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -64,15 +64,16 @@
     pub message_target: Time,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// A line of the server list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub server: ServerIx,
     /// The same at every proxy; the table is built from it.
@@ -107,15 +108,8 @@
 /// What to do with a session now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    Dial {
-        server: ServerIx,
-        limit: Time,
-    },
-    /// Its turn comes soon, in a [`Chore::Answer`].
-    Wait,
-    Refuse {
-        retry_after: Time,
-    },
+    Dial { server: ServerIx, limit: Time },
+    Refuse { retry_after: Time },
     TearDown,
 }
 
@@ -153,8 +147,6 @@
 pub enum Chore {
     Probe(ServerIx),
     Move(SessIx),
-    /// What to do with a session that waited.
-    Answer(SessIx, Verdict),
     Subscribe,
     Lookup,
     Log(String),
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -145,7 +145,6 @@
                 assert!(seen.dials <= set.max_dials, "too many dials");
                 seen.out = Some((server, now));
             }
-            Verdict::Wait => assert!(now < seen.until, "waits past the dial timeout"),
             Verdict::Refuse { retry_after } => {
                 let harmless = matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. });
                 assert!(seen.ran.is_none() || harmless, "an untrue refusal");
@@ -234,19 +233,16 @@
         }
         self.chores();
         for s in self.open.values().filter(|s| !s.stands) {
+            assert!(s.out.is_some(), "a session neither answered nor sent on");
             assert!(self.now <= s.until, "a session without its answer past its dial timeout");
         }
     }
 
     fn chores(&mut self) {
         for chore in self.balancer.chores(self.now) {
-            match chore {
-                Chore::Answer(ix, verdict) => self.check(ix, verdict),
-                Chore::Move(ix) => {
-                    assert!(self.open.remove(&ix).expect("moved while open").stands, "moved before it stood");
-                    self.balancer.left(ix);
-                }
-                _ => {}
+            if let Chore::Move(ix) = chore {
+                assert!(self.open.remove(&ix).expect("moved while open").stands, "moved before it stood");
+                self.balancer.left(ix);
             }
         }
     }
@@ -351,6 +347,37 @@
     assert!(matches!(b.place(30, ask(3, 0)).1, Verdict::Refuse { .. }));
 }
 
+#[test]
+fn a_server_that_drops_what_it_takes_does_not_draw_all_who_come_again() {
+    let mut b = fleet(settings(), 8);
+    let (mut bad, mut sent) = (None, 0);
+    for n in 0..100 {
+        let (ix, verdict) = b.place(n * 10, ask(3, 0));
+        let server = dialled(verdict);
+        b.stood(n * 10 + 5, ix, 5);
+        if server == *bad.get_or_insert(server) {
+            sent += 1;
+            b.settled(n * 10 + 6, ix, How::Broken, 6, true);
+        }
+    }
+    assert!(sent < 20, "{sent} of 100 sessions to a server that drops them");
+}
+
+#[test]
+fn a_crowd_does_not_scatter_a_small_group_over_all_servers() {
+    let mut b = fleet(settings(), 8);
+    let mut met = std::collections::BTreeSet::new();
+    for key in 1..41 {
+        let (ix, verdict) = b.place(0, ask(key, 0));
+        b.stood(10, ix, 10);
+        b.noted(20, ix, Note::Delay(400));
+        met.insert(dialled(verdict));
+    }
+    assert_eq!(met.len(), 8, "all servers are crowded");
+    let small: std::collections::BTreeSet<_> = (0..8).map(|_| dialled(b.place(30, ask(50, 0)).1)).collect();
+    assert!(small.len() <= 3, "one group on {small:?}");
+}
+
 #[test]
 fn errors_of_the_store_hold_back_further_dials() {
     let mut b = fleet(settings(), 8);
