--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -557,28 +557,32 @@
         let ready = self.servers.iter().flatten().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let mean = load / weight;
-        let (mut crowded, mut doubtful, mut capped) = (Vec::new(), None, false);
+        let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
         // Each server that holds any of a group pays for it: the walk ends early, so that a crowd does not scatter
         // its groups. A group as large as several servers' mean load may walk on by as many.
         let group: f64 =
             self.sessions.iter().filter(|(_, x)| x.bucket == sess.bucket).map(|(_, x)| x.load).sum();
         let depth = WALK + (2.0 * group * ranking.len() as f64 / load.max(1.0)) as usize;
-        for ix in ranking.into_iter().take(depth) {
+        for ix in ranking {
+            if full >= depth {
+                break;
+            }
             if !self.allowed(sess, ix) || !self.within_budget(now, ix, mean) {
                 continue;
             }
             let s = self.at(ix);
             let (good, bad, most) = (s.good, s.bad, CLEARLY * mean * self.weight(s) + 1.0);
             if s.load + sess.load > s.cap || s.out >= s.trust {
-                capped = true;
+                full += 1;
                 continue;
             }
-            let full = s.crowded > now || s.load >= most;
+            let over = s.crowded > now || s.load >= most;
             // A doubtful server's work is drawn from the posterior of its chance of success.
             let chance = |rng: &mut ChaCha8Rng| Beta::new(good, bad).expect("both above 0").sample(rng);
             if sess.dials > 0 && ix == sess.server || bad > 1.5 && chance(&mut self.rng) < 0.5 {
                 doubtful = doubtful.or(Some(ix));
-            } else if full {
+            } else if over {
+                full += 1;
                 crowded.push(ix);
             } else {
                 return Some(ix);
@@ -588,7 +592,7 @@
         crowded.truncate(2);
         crowded.shuffle(&mut self.rng);
         let share = |ix: &ServerIx| self.at(*ix).load / self.weight(self.at(*ix));
-        crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| !capped))
+        crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| full == 0))
     }
 
     /// A session that may have run goes again only to servers that drop its repeats.
