--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -46,7 +46,7 @@
 /// An error of the session store leaves this share of the dials out.
 const CUT: f64 = 0.7;
 /// A dial may take so many times what setting up took of late.
-const PATIENT: f64 = 6.0;
+const PATIENT: f64 = 12.0;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
 const MEMORY: f64 = 256.0;
 /// The most successes that speak for a server.
