--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -97,7 +97,7 @@
     /// drops them again would draw all who come again.
     fn heard(&mut self, now: Time) {
         if self.misses > 0 {
-            self.bad = 1.0 + (self.bad - 1.0) / 2.0;
+            self.forget(0.5);
         }
         if self.misses >= SILENT {
             self.trust = 1.0;
@@ -107,7 +107,13 @@
 
     fn served(&mut self, now: Time) {
         self.heard(now);
-        (self.good, self.bad) = ((self.good + 1.0).min(TRUSTED), 1.0 + (self.bad - 1.0) / 2.0);
+        self.good = (self.good + 1.0).min(TRUSTED);
+        self.forget(0.5);
+    }
+
+    /// Drops a share of its failures, down to the prior.
+    fn forget(&mut self, share: f64) {
+        self.bad = 1.0 + (self.bad - 1.0) * (1.0 - share);
     }
 
     fn failed(&mut self) {
@@ -291,7 +297,7 @@
             self.out -= 1.0;
             match how {
                 How::Error => self.store_failed(server),
-                How::Late => self.setup += (took as f64 - self.setup) / 4.0,
+                How::Late => self.setup_took(took),
                 _ => {}
             }
         }
@@ -326,7 +332,7 @@
         let server = sess.server;
         self.out -= 1.0;
         self.window += 1.0 / self.window;
-        self.setup += (took as f64 - self.setup) / 4.0;
+        self.setup_took(took);
         if let Some(s) = self.server(server) {
             (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
             s.heard(now);
@@ -395,7 +401,7 @@
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (round * QUIET, self.set.probing);
             let Some(s) = self.server(ix) else { continue };
-            s.bad = 1.0 + (s.bad - 1.0) * (1.0 - FORGET * round as f64 / NOTE as f64);
+            s.forget(FORGET * round as f64 / NOTE as f64);
             s.cap *= 1.0 + REGROW * round as f64 / NOTE as f64;
             if !s.ready() {
                 continue;
@@ -412,8 +418,8 @@
                     s.misses += 1;
                     out.push(Chore::Log(format!("server {id} is silent: moving {held} sessions off")));
                 }
-                let moved = self.sessions.iter().filter(|(_, x)| x.phase == Phase::Stands && x.server == ix);
-                out.extend(moved.take((held as f64 * MOVED).ceil() as usize).map(|(i, _)| Chore::Move(i)));
+                let pace = (held as f64 * MOVED).ceil() as usize;
+                out.extend(self.standing(ix).take(pace).map(|(i, _)| Chore::Move(i)));
             } else {
                 self.ease(now, ix, &mut out);
             }
@@ -431,10 +437,7 @@
             return;
         }
         let (most, weight, id) = (s.load * EASED, self.weight(s), s.entry.id);
-        let mut claims: Vec<_> = (self.sessions.iter())
-            .filter(|(_, x)| x.phase == Phase::Stands && x.server == ix)
-            .map(|(i, x)| (claim(x.bucket, id, weight), i))
-            .collect();
+        let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut moved = 0.0;
         for (_, sess) in claims {
@@ -461,6 +464,15 @@
         }
     }
 
+    fn setup_took(&mut self, took: Time) {
+        self.setup += (took as f64 - self.setup) / 4.0;
+    }
+
+    /// Our sessions that stand on a server.
+    fn standing(&self, ix: ServerIx) -> impl Iterator<Item = (SessIx, &Sess)> {
+        self.sessions.iter().filter(move |(_, x)| x.phase == Phase::Stands && x.server == ix)
+    }
+
     fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
         self.servers.get_mut(ix)?.as_mut()
     }
@@ -553,13 +565,9 @@
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let mean = load / weight;
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
-        // Each server that holds any of a group pays for it: the walk ends early, so that a crowd does not scatter
-        // its groups. A group as large as several servers' mean load may walk on by as many.
-        let group: f64 =
-            self.sessions.iter().filter(|(_, x)| x.bucket == sess.bucket).map(|(_, x)| x.load).sum();
-        let depth = WALK + (2.0 * group * ranking.len() as f64 / load.max(1.0)) as usize;
+        let servers = ranking.len() as f64;
         for ix in ranking {
-            if full >= depth {
+            if full >= WALK && full >= WALK + self.larger(sess.bucket, servers, load) {
                 break;
             }
             if !self.allowed(now, sess, ix) || !self.within_budget(now, ix, mean) {
@@ -590,6 +598,13 @@
         crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| full == 0))
     }
 
+    /// Each server that holds any of a group pays for it: the walk ends early, so that a crowd does not scatter its
+    /// groups. A group as large as several servers' mean load may walk on by twice as many.
+    fn larger(&self, bucket: u64, servers: f64, load: f64) -> usize {
+        let group: f64 = self.sessions.iter().filter(|(_, x)| x.bucket == bucket).map(|(_, x)| x.load).sum();
+        (2.0 * group * servers / load.max(1.0)) as usize
+    }
+
     /// A session that may have run goes again only to servers that drop its repeats, while they know it.
     fn allowed(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let Some((first, sent)) = sess.may_have_run else { return true };
