--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -418,7 +418,7 @@
                     s.misses += 1;
                     out.push(Chore::Log(format!("server {id} is silent: moving {held} sessions off")));
                 }
-                let pace = (held as f64 * MOVED).ceil() as usize;
+                let pace = self.paced(f64::from(held) * MOVED) as usize;
                 out.extend(self.standing(ix).take(pace).map(|(i, _)| Chore::Move(i)));
             } else {
                 self.ease(now, ix, &mut out);
@@ -439,12 +439,14 @@
         let (most, weight, id) = (s.load * EASED, self.weight(s), s.entry.id);
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        // With hundreds of proxies each holds a session or two there: one each would empty the server at once.
         let mut moved = 0.0;
         for (_, sess) in claims {
-            if moved >= most {
+            let load = self.sessions[sess].load;
+            if self.paced(((most - moved) / load).clamp(0.0, 1.0)) == 0.0 {
                 break;
             }
-            moved += self.sessions[sess].load;
+            moved += load;
             out.push(Chore::Move(sess));
         }
         let s = self.at_mut(ix);
@@ -468,6 +470,11 @@
         self.setup += (took as f64 - self.setup) / 4.0;
     }
 
+    /// A whole number that is so many on average: what each of many proxies does, together they do at that pace.
+    fn paced(&mut self, mean: f64) -> f64 {
+        (mean + self.rng.random::<f64>()).floor()
+    }
+
     /// Our sessions that stand on a server.
     fn standing(&self, ix: ServerIx) -> impl Iterator<Item = (SessIx, &Sess)> {
         self.sessions.iter().filter(move |(_, x)| x.phase == Phase::Stands && x.server == ix)
