The window on dials falls below one dial: a proxy in hundreds dials by chance

Cause: every proxy kept one dial out whatever the store answered, 224 together, each redialled at once; its queue stayed full and most set-ups stood after their clients had left.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -45,6 +45,8 @@
 const FORGET: f64 = 0.1;
 /// An error of the session store leaves this share of the dials out.
 const CUT: f64 = 0.7;
+/// Yet the window stays above this share of a dial, which is that chance of one: a proxy in hundreds.
+const FLOOR: f64 = 0.02;
 /// A dial may take so many times what setting up took of late.
 const PATIENT: f64 = 12.0;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
@@ -331,7 +333,7 @@
         sess.phase = Phase::Stands;
         let server = sess.server;
         self.out -= 1.0;
-        self.window += 1.0 / self.window;
+        self.window += self.window.min(1.0 / self.window);
         self.setup_took(took);
         if let Some(s) = self.server(server) {
             (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
@@ -462,7 +464,7 @@
                 self.logs
                     .push(Chore::Log("set-ups end in errors on several servers: dials held back".into()));
             }
-            self.window = (self.window.min(self.out + 1.0) * CUT).max(1.0);
+            self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
         }
     }
 
@@ -522,7 +524,7 @@
         let left = sess.until.saturating_sub(now);
         let target = self.rows[sess.ask.listener].handshake_target;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let again = fits && sess.dials < self.set.max_dials && self.out < self.window;
+        let again = fits && sess.dials < self.set.max_dials && self.out < self.window && self.paced(self.window) > 0.0;
         if again && let Some(server) = self.choose(now, &sess) {
             // One dial's time-out leaves room for another; a store that is slow for all wants more than that.
             let limit = target.max((PATIENT * self.setup) as Time).min(left);
