A server of which a proxy holds nothing is probed before a session goes there

The session waits for one answer (at most a connect time-out) and walks on if the server is crowded; reported load over 0.9 counts as crowded.

--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -17,6 +17,8 @@
 struct Proxy {
     balancer: Balancer,
     listeners: usize,
+    /// Where a load report holds the load asked of a server over what it can do.
+    load_at: Option<usize>,
     servers: HashMap<u32, ServerIx>,
     ids: Vec<u32>,
     sessions: HashMap<u32, (SessIx, u8)>,
@@ -78,8 +80,9 @@
 }
 
 impl Proxy {
-    fn new(set: Settings, seed: u64, now: Time) -> Self {
+    fn new((set, load_at): (Settings, Option<usize>), seed: u64, now: Time) -> Self {
         Self {
+            load_at,
             listeners: set.listeners.len(),
             balancer: Balancer::new(set, seed, now),
             servers: HashMap::new(),
@@ -160,7 +163,9 @@
             }
             1070 => {
                 if let Some(&server) = self.servers.get(&e.u32(15)) {
-                    self.balancer.probed(now, server, how(e.u8(6)));
+                    let load = self.load_at.filter(|&at| at < e.u8(19) as usize);
+                    let load = load.map_or(0.0, |at| f64::from(e.f32(20 + 4 * at)));
+                    self.balancer.probed(now, server, how(e.u8(6)), tenths(e.time(7)), load);
                 }
             }
             1110 => {
@@ -190,6 +195,7 @@
                     self.balancer.left(sess);
                     self.forget(rid);
                 }
+                Chore::Tell(sess, verdict) => self.tell(i, self.rids[&sess], verdict, reply),
                 Chore::Subscribe => reply.act(1040, i, &[&[1]]),
                 Chore::Log(text) => reply.say(1030, i, &text),
             }
@@ -209,6 +215,7 @@
                 reply.act(1090, i, &[&id, &self.ids[server].to_le_bytes(), &(limit * 100_000).to_le_bytes()]);
                 return;
             }
+            Verdict::Wait => return,
             Verdict::Refuse { retry_after } => {
                 reply.act(1080, i, &[&id, &(retry_after * 100_000).to_le_bytes()])
             }
--- a/crates/larklink-adapter/src/settings.rs
+++ b/crates/larklink-adapter/src/settings.rs
@@ -12,6 +12,7 @@
 struct Info {
     discovery: String,
     domain: Domain,
+    feedback: Feedback,
     grades: Vec<Grade>,
     policy_limits: Limits,
     safety: Safety,
@@ -24,6 +25,12 @@
     message_aim_ns: Vec<i64>,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Feedback {
+    names: Vec<String>,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct Grade {
@@ -59,6 +66,7 @@
         Self {
             discovery: "pushed".into(),
             domain: Domain::default(),
+            feedback: Feedback::default(),
             grades: Vec::new(),
             policy_limits: Limits::default(),
             safety: Safety::default(),
@@ -92,7 +100,8 @@
     }
 }
 
-pub fn read(text: &[u8]) -> Result<Settings, serde_json::Error> {
+/// The settings, and the place of the load value in a report, if it has one.
+pub fn read(text: &[u8]) -> Result<(Settings, Option<usize>), serde_json::Error> {
     let info: Info = serde_json::from_slice(text)?;
     let listeners = info.grades.iter().map(|g| Listener {
         kind: match (g.idempotency.as_str(), g.group.as_str()) {
@@ -111,7 +120,8 @@
         handshake_target: tenths(g.aim_ns),
     });
     let (limits, safety) = (&info.policy_limits, &info.safety);
-    Ok(Settings {
+    let load_at = info.feedback.names.iter().position(|n| n == "x0");
+    let set = Settings {
         listeners: listeners.collect(),
         weighted: matches!(info.weights.as_str(), "nominal" | "rough"),
         on_request: info.discovery == "on_request",
@@ -127,5 +137,6 @@
         retry_after: limits.retry_after,
         probing: limits.probing,
         message_target: info.domain.message_aim_ns.iter().map(|&ns| tenths(ns)).min().unwrap_or(0),
-    })
+    };
+    Ok((set, load_at))
 }
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -31,6 +31,8 @@
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off it each connect time-out.
 const MOVED: f64 = 0.25;
+/// A server counts as crowded when it tells that so much of what it can do is asked of it.
+const FULL: f64 = 0.9;
 /// A delay note comes once a second while messages take long: how long one holds, and how often it moves sessions.
 const NOTE: Time = 10_000;
 /// Share of a crowded server's load that is moved off it each time.
@@ -72,6 +74,9 @@
     misses: u32,
     heard: Time,
     probed: Time,
+    /// A probe to it is out; and up to when the answer to the last one tells whether it is crowded.
+    asked: bool,
+    known: Time,
     /// Up to when it counts as crowded, and when sessions were last moved off it for that.
     crowded: Time,
     eased: Time,
@@ -147,6 +152,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     Idle,
+    Waits,
     Dials,
     Stands,
 }
@@ -162,6 +168,8 @@
     sent: Time,
     server: ServerIx,
     dials: u32,
+    /// Probes that were made for it.
+    probes: usize,
     /// In mean loads of a session: what was told of it, else its listener's mean.
     load: f64,
     /// The first dial that may have run: its server and when it was sent.
@@ -203,6 +211,8 @@
     window: f64,
     /// Where setting up last ended in an error.
     failed_at: Option<ServerIx>,
+    /// Sessions that wait for the answer to a probe.
+    waiting: Vec<SessIx>,
     next_round: Time,
     next_ask: Time,
     logs: Vec<Chore>,
@@ -225,6 +235,7 @@
             out: 0.0,
             window: f64::INFINITY,
             failed_at: None,
+            waiting: Vec::new(),
             next_round: now,
             logs: Vec::new(),
         }
@@ -346,7 +357,7 @@
         let Some(sess) = self.sessions.try_remove(ix) else { return };
         let dials = f64::from(u8::from(sess.phase == Phase::Dials));
         self.out -= dials;
-        if sess.phase != Phase::Idle
+        if matches!(sess.phase, Phase::Dials | Phase::Stands)
             && let Some(s) = self.server(sess.server)
         {
             s.out -= dials;
@@ -374,8 +385,17 @@
         }
     }
 
-    pub fn probed(&mut self, now: Time, server: ServerIx, how: How) {
+    /// The answer to a probe; `load` is what was asked of the server over what it can do, where it tells that.
+    pub fn probed(&mut self, now: Time, server: ServerIx, how: How, took: Time, load: f64) {
+        let target = self.set.message_target;
         let Some(s) = self.server(server) else { return };
+        s.asked = false;
+        if how == How::Accepted {
+            s.known = now + NOTE;
+            if took > target / 2 || load > FULL {
+                s.crowded = s.crowded.max(now + NOTE * 3 / 2);
+            }
+        }
         match how {
             How::Accepted | How::Full => s.heard(now),
             How::Unmade | How::Late | How::Broken => s.missed(),
@@ -391,6 +411,18 @@
     /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
     pub fn chores(&mut self, now: Time) -> Vec<Chore> {
         let mut out = std::mem::take(&mut self.logs);
+        for ix in std::mem::take(&mut self.waiting) {
+            let Some(x) = self.sessions.get(ix).filter(|x| x.phase == Phase::Waits) else { continue };
+            if self.at(x.server).asked && now < x.sent + self.set.connect_timeout {
+                self.waiting.push(ix);
+            } else {
+                let verdict = self.next(now, ix);
+                if verdict != Verdict::Wait {
+                    out.push(Chore::Tell(ix, verdict));
+                }
+            }
+        }
+        out.append(&mut self.logs);
         if self.next_ask <= now {
             self.next_ask = now + self.set.must_ask_in / 2;
             out.push(Chore::Subscribe);
@@ -410,7 +442,7 @@
             }
             let wait = if s.misses > 0 { round * DOUBTED } else { quiet };
             if probing && (s.held > 0 || s.misses > 0) && s.heard.max(s.probed) + wait <= now {
-                s.probed = now;
+                (s.probed, s.asked) = (now, true);
                 out.push(Chore::Probe(ix));
             }
             if s.misses >= SILENT && s.held > 0 {
@@ -505,8 +537,8 @@
             (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
         };
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
-        let (phase, sent, server, dials, may_have_run) = (Phase::Idle, now, 0, 0, None);
-        self.sessions.insert(Sess { ask, bucket, until, phase, sent, server, dials, load, may_have_run })
+        let (phase, sent, server, dials, probes, may_have_run) = (Phase::Idle, now, 0, 0, 0, None);
+        self.sessions.insert(Sess { ask, bucket, until, phase, sent, server, dials, probes, load, may_have_run })
     }
 
     /// The servers in the order of their claims on a bucket.
@@ -526,6 +558,17 @@
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
         let again = fits && sess.dials < self.set.max_dials && self.out < self.window && self.paced(self.window) > 0.0;
         if again && let Some(server) = self.choose(now, &sess) {
+            if self.unknown(now, &sess, server) {
+                let x = &mut self.sessions[ix];
+                (x.phase, x.server, x.sent, x.probes) = (Phase::Waits, server, now, x.probes + 1);
+                self.waiting.push(ix);
+                let s = self.at_mut(server);
+                if !std::mem::replace(&mut s.asked, true) {
+                    s.probed = now;
+                    self.logs.push(Chore::Probe(server));
+                }
+                return Verdict::Wait;
+            }
             // One dial's time-out leaves room for another; a store that is slow for all wants more than that.
             let limit = target.max((PATIENT * self.setup) as Time).min(left);
             self.out += 1.0;
@@ -539,6 +582,14 @@
         self.give_up(ix)
     }
 
+    /// With hundreds of proxies none sees by its own sessions what a server bears: it asks one of which it holds
+    /// nothing before it sends there.
+    fn unknown(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
+        let (s, wait) = (self.at(ix), self.set.connect_timeout);
+        let free = self.set.probing && sess.dials == 0 && !sess.ask.mid_flow && sess.probes < WALK;
+        free && s.held == 0 && s.known <= now && sess.until > now + wait * 2
+    }
+
     /// The final answer to a session that is not sent on: a refusal where that is true.
     fn give_up(&mut self, ix: SessIx) -> Verdict {
         let sess = self.sessions.remove(ix);
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -102,6 +102,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     Dial { server: ServerIx, limit: Time },
+    /// Not yet: a chore will tell, well before its dial timeout.
+    Wait,
     Refuse { retry_after: Time },
     TearDown,
 }
@@ -139,6 +141,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Chore {
     Probe(ServerIx),
+    /// What to do with a session that was to wait.
+    Tell(SessIx, Verdict),
     Move(SessIx),
     Subscribe,
     Log(String),
