A crowded server gives up the more sessions a second the longer a message takes there

Cause: at 0.08 a second a server with twice its load stays jammed for ten seconds, and the piled-up work has to be worked off too. The share now grows with each doubling of the told delay over half the target, to a half at most.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -79,6 +79,7 @@
     known: Time,
     /// Up to when it counts as crowded, and when sessions were last moved off it for that.
     crowded: Time,
+    delay: Time,
     eased: Time,
     /// The most load of ours that it bears, learned from the sessions it dropped.
     cap: f64,
@@ -382,6 +383,7 @@
         s.load = (s.load + change).max(0.0);
         if let Note::Delay(delay) = note {
             s.crowded = if delay > target / 2 { now + NOTE * 3 / 2 } else { 0 };
+            s.delay = delay;
         }
     }
 
@@ -470,7 +472,9 @@
         if !room || s.crowded <= now || now < s.eased + NOTE {
             return;
         }
-        let (most, weight, id) = (s.load * EASED, self.weight(s), s.entry.id);
+        // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
+        let doublings = (s.delay as f64 / (self.set.message_target as f64 / 2.0)).max(1.0).log2();
+        let (most, weight, id) = (s.load * (EASED * doublings.max(1.0)).min(0.5), self.weight(s), s.entry.id);
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         // With hundreds of proxies each holds a session or two there: one each would empty the server at once.
