--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -142,13 +142,13 @@
             }
             1030 => {
                 if let Some(sess) = self.current(e.u32(6), e.u8(10)) {
-                    self.balancer.stood(now, sess, tenths(e.time(15)));
+                    self.balancer.stood(now, sess);
                 }
             }
             1040 => {
                 let (rid, over) = (e.u32(6), e.u8(23) != 0);
                 if let Some(sess) = self.current(rid, e.u8(24)) {
-                    let verdict = self.balancer.settled(now, sess, how(e.u8(22)), tenths(e.time(10)), over);
+                    let verdict = self.balancer.settled(now, sess, how(e.u8(22)), over);
                     match verdict {
                         Some(verdict) => self.tell(i, rid, verdict, reply),
                         None => self.forget(rid),
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -49,8 +49,6 @@
 const CUT: f64 = 0.7;
 /// Yet the window stays above this share of a dial, which is that chance of one: a proxy in hundreds.
 const FLOOR: f64 = 0.02;
-/// A dial may take so many times what setting up took of late.
-const PATIENT: f64 = 12.0;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
 const MEMORY: f64 = 256.0;
 /// The most successes that speak for a server.
@@ -205,8 +203,6 @@
     /// The mean load that was told, and by how many notes.
     unit: f64,
     notes: f64,
-    /// What setting up takes of late, over all servers.
-    setup: f64,
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
@@ -232,7 +228,6 @@
             table: BTreeMap::new(),
             unit: 0.0,
             notes: 0.0,
-            setup: 0.0,
             out: 0.0,
             window: f64::INFINITY,
             failed_at: None,
@@ -300,7 +295,7 @@
     }
 
     /// A dial or a connection ended. Where the session is not over, says what comes next.
-    pub fn settled(&mut self, now: Time, ix: SessIx, how: How, took: Time, over: bool) -> Option<Verdict> {
+    pub fn settled(&mut self, now: Time, ix: SessIx, how: How, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
         let (server, load, stood) = (sess.server, sess.load, sess.phase == Phase::Stands);
         sess.phase = Phase::Idle;
@@ -309,10 +304,8 @@
         }
         if !stood {
             self.out -= 1.0;
-            match how {
-                How::Error => self.store_failed(server),
-                How::Late => self.setup_took(took),
-                _ => {}
+            if how == How::Error {
+                self.store_failed(server);
             }
         }
         if let Some(s) = self.server(server) {
@@ -340,13 +333,12 @@
     }
 
     /// The dial's connection stands.
-    pub fn stood(&mut self, now: Time, ix: SessIx, took: Time) {
+    pub fn stood(&mut self, now: Time, ix: SessIx) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
         let server = sess.server;
         self.out -= 1.0;
         self.window += self.window.min(1.0 / self.window);
-        self.setup_took(took);
         if let Some(s) = self.server(server) {
             (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
             s.heard(now);
@@ -415,13 +407,16 @@
         let mut out = std::mem::take(&mut self.logs);
         for ix in std::mem::take(&mut self.waiting) {
             let Some(x) = self.sessions.get(ix).filter(|x| x.phase == Phase::Waits) else { continue };
-            if self.at(x.server).asked && now < x.sent + self.set.connect_timeout {
-                self.waiting.push(ix);
-            } else {
-                let verdict = self.next(now, ix);
-                if verdict != Verdict::Wait {
-                    out.push(Chore::Tell(ix, verdict));
+            if self.at(x.server).asked {
+                if now < x.sent + self.set.connect_timeout {
+                    self.waiting.push(ix);
+                    continue;
                 }
+                self.sessions[ix].probes = WALK;
+            }
+            match self.next(now, ix) {
+                Verdict::Wait => {}
+                verdict => out.push(Chore::Tell(ix, verdict)),
             }
         }
         out.append(&mut self.logs);
@@ -504,10 +499,6 @@
         }
     }
 
-    fn setup_took(&mut self, took: Time) {
-        self.setup += (took as f64 - self.setup) / 4.0;
-    }
-
     /// A whole number that is so many on average: what each of many proxies does, together they do at that pace.
     fn paced(&mut self, mean: f64) -> f64 {
         (mean + self.rng.random::<f64>()).floor()
@@ -542,7 +533,18 @@
         };
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
         let (phase, sent, server, dials, probes, may_have_run) = (Phase::Idle, now, 0, 0, 0, None);
-        self.sessions.insert(Sess { ask, bucket, until, phase, sent, server, dials, probes, load, may_have_run })
+        self.sessions.insert(Sess {
+            ask,
+            bucket,
+            until,
+            phase,
+            sent,
+            server,
+            dials,
+            probes,
+            load,
+            may_have_run,
+        })
     }
 
     /// The servers in the order of their claims on a bucket.
@@ -560,7 +562,10 @@
         let left = sess.until.saturating_sub(now);
         let target = self.rows[sess.ask.listener].handshake_target;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let again = fits && sess.dials < self.set.max_dials && self.out < self.window && self.paced(self.window) > 0.0;
+        let again = fits
+            && sess.dials < self.set.max_dials
+            && self.out < self.window
+            && self.paced(self.window) > 0.0;
         if again && let Some(server) = self.choose(now, &sess) {
             if self.unknown(now, &sess, server) {
                 let x = &mut self.sessions[ix];
@@ -573,8 +578,9 @@
                 }
                 return Verdict::Wait;
             }
-            // One dial's time-out leaves room for another; a store that is slow for all wants more than that.
-            let limit = target.max((PATIENT * self.setup) as Time).min(left);
+            // What a dial that ran out of time had asked of the session store is still worked on there, and a
+            // slow one is jammed by dials that are made again: only one to a server in doubt leaves room for another.
+            let limit = if self.at(server).misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
             let s = self.at_mut(server);
             s.take(sess.load);
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -101,10 +101,15 @@
 /// What to do with a session now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    Dial { server: ServerIx, limit: Time },
+    Dial {
+        server: ServerIx,
+        limit: Time,
+    },
     /// Not yet: a chore will tell, well before its dial timeout.
     Wait,
-    Refuse { retry_after: Time },
+    Refuse {
+        retry_after: Time,
+    },
     TearDown,
 }
 
