--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -388,6 +388,7 @@
             s.known = now + NOTE;
             if took > target / 2 || load > FULL {
                 s.crowded = s.crowded.max(now + NOTE * 3 / 2);
+                s.cap = s.cap.min(s.load).max(LEAST);
             }
         }
         match how {
@@ -464,6 +465,7 @@
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
         let s = self.at(ix);
         let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
+        let room = room || s.delay > self.set.message_target * 4;
         if !room || s.crowded <= now || now < s.eased + NOTE {
             return;
         }
