A new session bounces off a crowded server; who comes again passes over a server unmet by this proxy

Now a session that stood for under two seconds on a crowded server is moved by half, the less the more the proxy holds there and the fewer servers it knows to have room; a client that comes again passes over an unmet server by half. The moved share counts each session looked at once.

--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -13,6 +13,7 @@
 const CACHED_LIST: u8 = 2;
 const WHOLE_LIST: u8 = 1;
 const MID_FLOW: u16 = 8;
+const AGAIN: u16 = 16;
 
 struct Proxy {
     balancer: Balancer,
@@ -119,6 +120,7 @@
                 let ask = Session {
                     group_key: e.u64(10),
                     mid_flow: e.u16(22) & MID_FLOW != 0,
+                    again: e.u16(22) & AGAIN != 0,
                     patience: tenths(e.time(24)),
                     client_key: e.u64(32),
                     listener: self.listener(e.u8(40))?,
@@ -135,6 +137,7 @@
                     patience: tenths(e.time(23)),
                     group_key: e.u64(39),
                     mid_flow: false,
+                    again: false,
                 };
                 let server = self.server(e.u32(49));
                 let sess = self.balancer.adopt(now, ask, server);
--- a/crates/larklink-adapter/src/settings.rs
+++ b/crates/larklink-adapter/src/settings.rs
@@ -136,6 +136,7 @@
         max_retry_after: tenths(limits.max_retry_after_ns),
         retry_after: limits.retry_after,
         probing: limits.probing,
+        tells_load: limits.probing && load_at.is_some(),
         message_target: info.domain.message_aim_ns.iter().map(|&ns| tenths(ns)).min().unwrap_or(0),
     };
     Ok((set, load_at))
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -33,6 +33,8 @@
 const MOVED: f64 = 0.25;
 /// A server counts as crowded when it tells that so much of what it can do is asked of it.
 const FULL: f64 = 0.9;
+const AGAIN: f64 = 0.5;
+const BOUNCE: f64 = 0.5;
 /// A delay note comes once a second while messages take long: how long one holds, and how often it moves sessions.
 const NOTE: Time = 10_000;
 /// Share of a crowded server's load that is moved off it each time.
@@ -464,8 +466,13 @@
     /// anew, and whole groups at once only carry the crowd to the next server.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
         let s = self.at(ix);
-        let room = self.servers.iter().flatten().any(|o| o.ready() && o.crowded <= now && o.misses == 0);
-        let room = room || s.delay > self.set.message_target * 4;
+        let known = self.servers.iter().flatten().filter(|o| o.ready() && (o.held > 0 || o.known > now));
+        let (all, with_room) = known.fold((0.0, 0.0), |(a, r), o| {
+            (a + 1.0, r + f64::from(u8::from(o.crowded <= now && o.misses == 0)))
+        });
+        let tells = self.set.tells_load;
+        let bounce = BOUNCE * with_room / all / f64::from(s.held);
+        let room = with_room > 0.0 || s.delay > self.set.message_target * 4;
         if !room || s.crowded <= now || now < s.eased + NOTE {
             return;
         }
@@ -475,14 +482,16 @@
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         // With hundreds of proxies each holds a session or two there: one each would empty the server at once.
-        let mut moved = 0.0;
+        let (mut seen, mut moved) = (0.0, 0.0);
         for (_, sess) in claims {
-            let load = self.sessions[sess].load;
-            if self.paced(((most - moved) / load).clamp(0.0, 1.0)) == 0.0 {
-                break;
+            let x = &self.sessions[sess];
+            let (load, new) = (x.load, x.sent + 2 * NOTE > now);
+            let fits = ((most - seen) / load).clamp(if new && !tells { bounce } else { 0.0 }, 1.0);
+            seen += load;
+            if self.paced(fits) > 0.0 {
+                moved += load;
+                out.push(Chore::Move(sess));
             }
-            moved += load;
-            out.push(Chore::Move(sess));
         }
         let s = self.at_mut(ix);
         // Held to what it is left with, else new sessions refill it as fast.
@@ -651,7 +660,9 @@
                 full += 1;
                 continue;
             }
-            let over = s.crowded > now || s.load >= most;
+            // A client that comes again after a break or a move tells of a crowd that this proxy has not met.
+            let unmet = sess.ask.again && sess.dials == 0 && s.held == 0 && !self.set.tells_load;
+            let over = s.crowded > now || s.load >= most || unmet && self.rng.random_bool(AGAIN);
             // A doubtful server's work is drawn from the posterior of its chance of success.
             let chance = |rng: &mut ChaCha8Rng| Beta::new(good, bad).expect("both above 0").sample(rng);
             if sess.dials > 0 && ix == sess.server || bad > 1.5 && chance(&mut self.rng) < 0.5 {
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -54,6 +54,8 @@
     pub max_retry_after: Time,
     pub retry_after: bool,
     pub probing: bool,
+    /// The answer to a probe tells the load asked of the server over what it can do.
+    pub tells_load: bool,
     /// The shortest time within which any listener wants a message.
     pub message_target: Time,
 }
@@ -96,6 +98,8 @@
     /// Time until its dial timeout.
     pub patience: Time,
     pub mid_flow: bool,
+    /// Its client comes again after a break or a move.
+    pub again: bool,
 }
 
 /// What to do with a session now.
