--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -33,7 +33,9 @@
 const MOVED: f64 = 0.25;
 /// A server counts as crowded when it tells that so much of what it can do is asked of it.
 const FULL: f64 = 0.9;
+/// Of those who come again after a break or a move, the share that passes over a server of which nothing is known.
 const AGAIN: f64 = 0.5;
+/// Of those new on a crowded server, the share that is moved off it each second.
 const BOUNCE: f64 = 0.5;
 /// A delay note comes once a second while messages take long: how long one holds, and how often it moves sessions.
 const NOTE: Time = 10_000;
@@ -60,6 +62,7 @@
 #[derive(Clone, Debug, Default)]
 struct Server {
     entry: Entry,
+    listed: bool,
     /// When we were told that it drains or is gone.
     told: Option<Time>,
     /// When it joined our list; 0 if it stood there from the first.
@@ -92,9 +95,9 @@
 }
 
 impl Server {
-    fn new(entry: Entry, joined: Time, now: Time) -> Self {
+    fn new(now: Time) -> Self {
         let (good, bad, cap, trust) = (2.0, 1.0, f64::INFINITY, f64::INFINITY);
-        Self { entry, joined, good, bad, cap, trust, heard: now, counted: now, ..Self::default() }
+        Self { good, bad, cap, trust, heard: now, counted: now, ..Self::default() }
     }
 
     fn ready(&self) -> bool {
@@ -150,15 +153,16 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Phase {
+    #[default]
     Idle,
     Waits,
     Dials,
     Stands,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Sess {
     ask: Session,
     bucket: u64,
@@ -198,7 +202,7 @@
     set: Settings,
     rows: Vec<Row>,
     rng: ChaCha8Rng,
-    servers: Vec<Option<Server>>,
+    servers: Vec<Server>,
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
     table: BTreeMap<u64, Vec<ServerIx>>,
@@ -243,21 +247,19 @@
     pub fn heard_list(&mut self, now: Time, scope: Scope, entries: &[Entry]) {
         if scope != Scope::Changes {
             let missing = |s: &&mut Server| s.ready() && !entries.iter().any(|e| e.server == s.entry.server);
-            for s in self.servers.iter_mut().flatten().filter(missing) {
+            for s in self.servers.iter_mut().filter(missing) {
                 (s.entry.state, s.told) = (State::Gone, Some(now));
             }
         }
         for &entry in entries {
-            if self.servers.len() <= entry.server {
-                self.servers.resize(entry.server + 1, None);
-            }
-            let joined = if scope == Scope::Cached { 0 } else { now };
-            let s = self.servers[entry.server].get_or_insert_with(|| Server::new(entry, joined, now));
-            if entry.came_up > s.entry.came_up {
+            let s = self.server(entry.server);
+            if !s.listed {
+                *s = Server { listed: true, held: s.held, load: s.load, ..Server::new(now) };
+            } else if entry.came_up > s.entry.came_up {
                 s.restart(now);
             }
             if entry.state == State::Ready && !s.ready() {
-                s.joined = now;
+                s.joined = if scope == Scope::Cached { 0 } else { now };
             }
             s.entry = entry;
             s.told = if s.ready() { None } else { s.told.or(Some(now)) };
@@ -284,9 +286,7 @@
         let sess = &mut self.sessions[ix];
         (sess.phase, sess.server, sess.dials) = (Phase::Stands, server, 1);
         let load = sess.load;
-        if let Some(s) = self.server(server) {
-            s.take(load);
-        }
+        self.server(server).take(load);
         ix
     }
 
@@ -306,26 +306,30 @@
         }
         if !stood {
             self.out -= 1.0;
-            if how == How::Error {
-                self.store_failed(server);
+        }
+        // Errors on two servers in turn point at the session store behind all of them, which every further dial only
+        // loads: fewer dials at once. One server alone does not.
+        if how == How::Error && self.failed_at.replace(server).is_some_and(|last| last != server) {
+            if self.window.is_infinite() {
+                self.logs.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
             }
+            self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
         }
-        if let Some(s) = self.server(server) {
-            s.release(load);
-            s.out -= f64::from(u8::from(!stood));
-            match how {
-                How::Accepted => s.served(now),
-                How::Full => s.heard(now),
-                // A crowded server drops sessions, whose clients come again at once and crowd it further: take
-                // that for the most that it bears, so that the drops are not made good there.
-                How::Broken if stood => {
-                    s.missed();
-                    s.cap = s.cap.min(s.load * SHED).max(LEAST);
-                }
-                How::Unmade | How::Broken => s.missed(),
-                How::Late | How::Error => s.failed(),
-                How::CalledOff | How::Unsent => {}
+        let s = &mut self.servers[server];
+        s.release(load);
+        s.out -= f64::from(u8::from(!stood));
+        match how {
+            How::Accepted => s.served(now),
+            How::Full => s.heard(now),
+            // A crowded server drops sessions, whose clients come again at once and crowd it further: take that for
+            // the most that it bears, so that the drops are not made good there.
+            How::Broken if stood => {
+                s.missed();
+                s.cap = s.cap.min(s.load * SHED).max(LEAST);
             }
+            How::Unmade | How::Broken => s.missed(),
+            How::Late | How::Error => s.failed(),
+            How::CalledOff | How::Unsent => {}
         }
         if over {
             self.sessions.remove(ix);
@@ -338,13 +342,11 @@
     pub fn stood(&mut self, now: Time, ix: SessIx) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
-        let server = sess.server;
         self.out -= 1.0;
         self.window += self.window.min(1.0 / self.window);
-        if let Some(s) = self.server(server) {
-            (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
-            s.heard(now);
-        }
+        let s = &mut self.servers[sess.server];
+        (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
+        s.heard(now);
     }
 
     /// The client has left, or was moved: the session is over.
@@ -352,18 +354,16 @@
         let Some(sess) = self.sessions.try_remove(ix) else { return };
         let dials = f64::from(u8::from(sess.phase == Phase::Dials));
         self.out -= dials;
-        if matches!(sess.phase, Phase::Dials | Phase::Stands)
-            && let Some(s) = self.server(sess.server)
-        {
-            s.out -= dials;
-            s.release(sess.load);
+        if matches!(sess.phase, Phase::Dials | Phase::Stands) {
+            self.servers[sess.server].out -= dials;
+            self.servers[sess.server].release(sess.load);
         }
     }
 
     /// Word on an open connection.
     pub fn noted(&mut self, now: Time, ix: SessIx, note: Note) {
         let Some(sess) = self.sessions.get_mut(ix) else { return };
-        let (server, before) = (sess.server, sess.load);
+        let before = sess.load;
         if let Note::Load(load) = note {
             self.notes = (self.notes + 1.0).min(MEMORY);
             self.unit += (load - self.unit) / self.notes;
@@ -372,7 +372,7 @@
             row.load += (sess.load - row.load) / MEMORY.sqrt();
         }
         let (change, target) = (sess.load - before, self.set.message_target);
-        let Some(s) = self.server(server) else { return };
+        let s = &mut self.servers[sess.server];
         s.served(now);
         s.load = (s.load + change).max(0.0);
         if let Note::Delay(delay) = note {
@@ -384,7 +384,7 @@
     /// The answer to a probe; `load` is what was asked of the server over what it can do, where it tells that.
     pub fn probed(&mut self, now: Time, server: ServerIx, how: How, took: Time, load: f64) {
         let target = self.set.message_target;
-        let Some(s) = self.server(server) else { return };
+        let s = self.server(server);
         s.asked = false;
         if how == How::Accepted {
             s.known = now + NOTE;
@@ -410,7 +410,7 @@
         let mut out = std::mem::take(&mut self.logs);
         for ix in std::mem::take(&mut self.waiting) {
             let Some(x) = self.sessions.get(ix).filter(|x| x.phase == Phase::Waits) else { continue };
-            if self.at(x.server).asked {
+            if self.servers[x.server].asked {
                 if now < x.sent + self.set.connect_timeout {
                     self.waiting.push(ix);
                     continue;
@@ -434,7 +434,7 @@
         self.next_round = now + round;
         for ix in 0..self.servers.len() {
             let (quiet, probing) = (round * QUIET, self.set.probing);
-            let Some(s) = self.server(ix) else { continue };
+            let s = &mut self.servers[ix];
             s.forget(FORGET * round as f64 / NOTE as f64);
             s.cap *= 1.0 + REGROW * round as f64 / NOTE as f64;
             if !s.ready() {
@@ -465,19 +465,20 @@
     /// it, which are the same at every proxy, while some other server has room. A few at a time: each is set up
     /// anew, and whole groups at once only carry the crowd to the next server.
     fn ease(&mut self, now: Time, ix: ServerIx, out: &mut Vec<Chore>) {
-        let s = self.at(ix);
-        let known = self.servers.iter().flatten().filter(|o| o.ready() && (o.held > 0 || o.known > now));
-        let (all, with_room) = known.fold((0.0, 0.0), |(a, r), o| {
-            (a + 1.0, r + f64::from(u8::from(o.crowded <= now && o.misses == 0)))
-        });
-        let tells = self.set.tells_load;
-        let bounce = BOUNCE * with_room / all / f64::from(s.held);
-        let room = with_room > 0.0 || s.delay > self.set.message_target * 4;
-        if !room || s.crowded <= now || now < s.eased + NOTE {
+        let (s, target) = (&self.servers[ix], self.set.message_target);
+        if s.crowded <= now || now < s.eased + NOTE {
+            return;
+        }
+        let known = self.servers.iter().filter(|o| o.ready() && (o.held > 0 || o.known > now));
+        let (room, none): (Vec<_>, Vec<_>) = known.partition(|o| o.crowded <= now && o.misses == 0);
+        if room.is_empty() && s.delay <= target * 4 {
             return;
         }
+        // Where no load is told, a new session is the test of a server that its proxy knows nothing of.
+        let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held);
+        let bounce = if self.set.tells_load { 0.0 } else { BOUNCE * share };
         // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
-        let doublings = (s.delay as f64 / (self.set.message_target as f64 / 2.0)).max(1.0).log2();
+        let doublings = (s.delay as f64 / (target as f64 / 2.0)).max(1.0).log2();
         let (most, weight, id) = (s.load * (EASED * doublings.max(1.0)).min(0.5), self.weight(s), s.entry.id);
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -486,30 +487,18 @@
         for (_, sess) in claims {
             let x = &self.sessions[sess];
             let (load, new) = (x.load, x.sent + 2 * NOTE > now);
-            let fits = ((most - seen) / load).clamp(if new && !tells { bounce } else { 0.0 }, 1.0);
+            let fits = ((most - seen) / load).clamp(if new { bounce } else { 0.0 }, 1.0);
             seen += load;
             if self.paced(fits) > 0.0 {
                 moved += load;
                 out.push(Chore::Move(sess));
             }
         }
-        let s = self.at_mut(ix);
+        let s = &mut self.servers[ix];
         // Held to what it is left with, else new sessions refill it as fast.
         (s.eased, s.cap) = (now, s.cap.min(s.load - moved).max(LEAST));
     }
 
-    /// Setting up ended in an error. Two servers in turn point at the store behind all of them, which every further
-    /// dial only loads: fewer dials at once. One server alone does not.
-    fn store_failed(&mut self, server: ServerIx) {
-        if self.failed_at.replace(server).is_some_and(|last| last != server) {
-            if self.window.is_infinite() {
-                self.logs
-                    .push(Chore::Log("set-ups end in errors on several servers: dials held back".into()));
-            }
-            self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
-        }
-    }
-
     /// A whole number that is so many on average: what each of many proxies does, together they do at that pace.
     fn paced(&mut self, mean: f64) -> f64 {
         (mean + self.rng.random::<f64>()).floor()
@@ -520,16 +509,12 @@
         self.sessions.iter().filter(move |(_, x)| x.phase == Phase::Stands && x.server == ix)
     }
 
-    fn server(&mut self, ix: ServerIx) -> Option<&mut Server> {
-        self.servers.get_mut(ix)?.as_mut()
-    }
-
-    fn at(&self, ix: ServerIx) -> &Server {
-        self.servers[ix].as_ref().expect("ranked from the records")
-    }
-
-    fn at_mut(&mut self, ix: ServerIx) -> &mut Server {
-        self.servers[ix].as_mut().expect("ranked from the records")
+    /// The record of a server; one that no list has named yet counts as gone.
+    fn server(&mut self, ix: ServerIx) -> &mut Server {
+        if self.servers.len() <= ix {
+            self.servers.resize_with(ix + 1, || Server::new(0));
+        }
+        &mut self.servers[ix]
     }
 
     fn weight(&self, s: &Server) -> f64 {
@@ -543,24 +528,12 @@
             (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
         };
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
-        let (phase, sent, server, dials, probes, may_have_run) = (Phase::Idle, now, 0, 0, 0, None);
-        self.sessions.insert(Sess {
-            ask,
-            bucket,
-            until,
-            phase,
-            sent,
-            server,
-            dials,
-            probes,
-            load,
-            may_have_run,
-        })
+        self.sessions.insert(Sess { ask, bucket, until, load, sent: now, ..Sess::default() })
     }
 
     /// The servers in the order of their claims on a bucket.
     fn rank(&self, bucket: u64, keep: impl Fn(&Server) -> bool) -> Vec<ServerIx> {
-        let mut claims: Vec<_> = (self.servers.iter().flatten().filter(|s| keep(s)))
+        let mut claims: Vec<_> = (self.servers.iter().filter(|s| keep(s)))
             .map(|s| (claim(bucket, s.entry.id, self.weight(s)), s.entry.id, s.entry.server))
             .collect();
         claims.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -573,16 +546,17 @@
         let left = sess.until.saturating_sub(now);
         let target = self.rows[sess.ask.listener].handshake_target;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let again = fits
+        let turn = self.out < self.window && self.paced(self.window) > 0.0;
+        if fits
+            && turn
             && sess.dials < self.set.max_dials
-            && self.out < self.window
-            && self.paced(self.window) > 0.0;
-        if again && let Some(server) = self.choose(now, &sess) {
+            && let Some(server) = self.choose(now, &sess)
+        {
             if self.unknown(now, &sess, server) {
                 let x = &mut self.sessions[ix];
                 (x.phase, x.server, x.sent, x.probes) = (Phase::Waits, server, now, x.probes + 1);
                 self.waiting.push(ix);
-                let s = self.at_mut(server);
+                let s = &mut self.servers[server];
                 if !std::mem::replace(&mut s.asked, true) {
                     s.probed = now;
                     self.logs.push(Chore::Probe(server));
@@ -591,9 +565,9 @@
             }
             // What a dial that ran out of time had asked of the session store is still worked on there, and a
             // slow one is jammed by dials that are made again: only one to a server in doubt leaves room for another.
-            let limit = if self.at(server).misses == 0 { left } else { target.min(left) };
+            let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
-            let s = self.at_mut(server);
+            let s = &mut self.servers[server];
             s.take(sess.load);
             (s.out, s.budget) = (s.out + 1.0, s.budget - 1.0);
             let x = &mut self.sessions[ix];
@@ -606,7 +580,7 @@
     /// With hundreds of proxies none sees by its own sessions what a server bears: it asks one of which it holds
     /// nothing before it sends there.
     fn unknown(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
-        let (s, wait) = (self.at(ix), self.set.connect_timeout);
+        let (s, wait) = (&self.servers[ix], self.set.connect_timeout);
         let free = self.set.probing && sess.dials == 0 && !sess.ask.mid_flow && sess.probes < WALK;
         free && s.held == 0 && s.known <= now && sess.until > now + wait * 2
     }
@@ -631,10 +605,10 @@
             let (grace, keep) = (self.set.drain_grace / 2, self.set.cold);
             let earlier = |s: &Server| match s.told {
                 Some(t) => s.entry.state == State::Draining && now <= t + grace,
-                None => s.joined == 0 || s.joined + keep <= now,
+                None => s.ready() && (s.joined == 0 || s.joined + keep <= now),
             };
             let owner = self.rank(sess.bucket, earlier).first().copied();
-            if let Some(ix) = owner.filter(|&ix| self.at(ix).misses < SILENT) {
+            if let Some(ix) = owner.filter(|&ix| self.servers[ix].misses < SILENT) {
                 return Some(ix);
             }
         }
@@ -642,7 +616,7 @@
             self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
         }
         let ranking = self.table[&sess.bucket].clone();
-        let ready = self.servers.iter().flatten().filter(|s| s.ready());
+        let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let mean = load / weight;
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
@@ -654,7 +628,7 @@
             if !self.allowed(now, sess, ix) || !self.within_budget(now, ix, mean) {
                 continue;
             }
-            let s = self.at(ix);
+            let s = &self.servers[ix];
             let (good, bad, most) = (s.good, s.bad, CLEARLY * mean * self.weight(s) + 1.0);
             if s.load + sess.load > s.cap || s.out >= s.trust {
                 full += 1;
@@ -677,7 +651,7 @@
         // All are crowded: the less so of the first two, ties by chance.
         crowded.truncate(2);
         crowded.shuffle(&mut self.rng);
-        let share = |ix: &ServerIx| self.at(*ix).load / self.weight(self.at(*ix));
+        let share = |ix: &ServerIx| self.servers[*ix].load / self.weight(&self.servers[*ix]);
         crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| full == 0))
     }
 
@@ -691,8 +665,7 @@
     /// A session that may have run goes again only to servers that drop its repeats, while they know it.
     fn allowed(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let Some((first, sent)) = sess.may_have_run else { return true };
-        let Some(Some(Server { entry: a, .. })) = self.servers.get(first) else { return false };
-        let b = &self.at(ix).entry;
+        let (a, b) = (&self.servers[first].entry, &self.servers[ix].entry);
         match self.rows[sess.ask.listener].kind {
             Kind::Repeatable => true,
             Kind::OnceOnly => false,
@@ -708,8 +681,8 @@
     /// warm-up.
     fn within_budget(&mut self, now: Time, ix: ServerIx, mean: f64) -> bool {
         let (cold, start, multiple) = (self.set.cold, self.set.start_capacity, self.set.fall_multiple);
-        let (span, fill) = (self.set.overload_for as f64, mean * self.weight(self.at(ix)));
-        let s = self.at_mut(ix);
+        let (span, fill) = (self.set.overload_for as f64, mean * self.weight(&self.servers[ix]));
+        let s = &mut self.servers[ix];
         let age = now.saturating_sub(s.entry.came_up);
         if s.entry.came_up == 0 || age >= cold {
             return true;
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -62,9 +62,9 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
-    #[default]
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -90,7 +90,7 @@
 }
 
 /// A session as it reaches the proxy.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Session {
     pub listener: usize,
     pub group_key: u64,
