Servers that a proxy knows nothing of count as having room

Cause, found by the test of the paced moves: a proxy that held sessions of one server only saw no room anywhere and moved nothing until a message took four times its target.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -457,8 +457,8 @@
         if s.crowded <= now || now < s.eased + NOTE {
             return;
         }
-        let known = self.servers.iter().filter(|o| o.ready() && (o.held > 0 || o.known > now));
-        let (room, none): (Vec<_>, Vec<_>) = known.partition(|o| o.crowded <= now && o.misses == 0);
+        let ready = self.servers.iter().filter(|o| o.ready());
+        let (room, none): (Vec<_>, Vec<_>) = ready.partition(|o| o.crowded <= now && o.misses == 0);
         if room.is_empty() && s.delay <= target * 4 {
             return;
         }
