--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -37,7 +37,7 @@
 /// Of those who come again after a break or a move, the share that passes over a server of which nothing is known.
 const AGAIN: f64 = 0.5;
 /// Of those new on a crowded server, the share that is moved off it each second.
-const BOUNCE: f64 = 0.5;
+const BOUNCE: f64 = 1.0;
 /// A delay note comes once a second while messages take long, and moves sessions as often.
 const NOTE: Time = 10_000;
 /// Share of a crowded server's load that is moved off it each time.
@@ -299,8 +299,9 @@
             self.out -= 1.0;
         }
         // Errors on two servers in turn point at the session store behind all of them, which every further dial only
-        // loads: fewer dials at once. One server alone does not.
-        if how == How::Error && self.failed_at.replace(server).is_some_and(|last| last != server) {
+        // loads: fewer dials at once. One server alone does not; dials that run out of time only say that it lasts.
+        let fails = how == How::Error || how == How::Late && self.window.is_finite();
+        if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
             if self.window.is_infinite() {
                 self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
             }
@@ -464,7 +465,7 @@
         }
         // Where no load is told, a new session is the test of a server that its proxy knows nothing of.
         let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held);
-        let bounce = if self.set.tells_load { 0.0 } else { BOUNCE * share };
+        let bounce = if self.set.tells_load { 0.0 } else { BOUNCE * share * self.window.min(1.0) };
         // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
         let doublings = (s.delay as f64 / (target as f64 / 2.0)).max(1.0).log2();
         let (most, weight, id) = (s.load * (EASED * doublings.max(1.0)).min(0.5), self.weight(s), s.entry.id);
