--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -464,7 +464,7 @@
             return;
         }
         // Where no load is told, a new session is the test of a server that its proxy knows nothing of.
-        let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held);
+        let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held).powi(2);
         let bounce = if self.set.tells_load { 0.0 } else { BOUNCE * share * self.window.min(1.0) };
         // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
         let doublings = (s.delay as f64 / (target as f64 / 2.0)).max(1.0).log2();
