--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -1,13 +1,13 @@
 //! Where each session goes: every decision of a larklink proxy, with no I/O, clock or wire.
 //!
-//! How to call it. Make one [`Balancer`] a proxy, hand it the server list with [`Balancer::heard_list`], then ask:
-//! [`Balancer::place`] says where a session goes, [`Balancer::settled`] whether it goes again. Tell it what it could
-//! not see otherwise: [`Balancer::stood`], [`Balancer::noted`], [`Balancer::probed`], [`Balancer::left`]. Call
-//! [`Balancer::chores`] when [`Balancer::due`] has come, and carry out what it returns. Every call takes the time
-//! now; none blocks. The values that go in and out, this module's interface, are defined in `types.rs`.
+//! How to call it. Make one [`Balancer`] a proxy, hand it the server list with [`Balancer::heard_list`] and
+//! ask: [`Balancer::place`] says where a session goes, [`Balancer::settled`] whether it goes again. Tell it
+//! what else is seen ([`Balancer::stood`], `noted`, `probed`, `left`); after each call, and when
+//! [`Balancer::due`] has come, carry out what [`Balancer::chores`] returns. No call blocks. Its interface,
+//! plain values, is defined in `types.rs`.
 //!
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -23,8 +23,7 @@
 const CLEARLY: f64 = 1.3;
 /// How far a session walks down its bucket's ranking past servers that are there but full.
 const WALK: usize = 3;
-/// A server that holds sessions is probed when nothing was heard of it for so many connect time-outs, by the root of
-/// how many it holds: what finding it silent early would save grows with that, the price of a probe does not.
+/// A server is probed after so many connect time-outs of silence, over the root of what it holds.
 const QUIET: u64 = 64;
 /// And a server that missed once, after so many.
 const DOUBTED: u64 = 2;
@@ -34,15 +33,15 @@
 const MOVED: f64 = 0.25;
 /// A server counts as crowded when it tells that so much of what it can do is asked of it.
 const FULL: f64 = 0.9;
-/// Of those who come again after a break or a move, the share that passes over a server of which nothing is known.
+/// The share of those who come again after a break or a move that passes over a server not met yet.
 const AGAIN: f64 = 0.5;
-/// Of those new on a crowded server, the share that is moved off it each second.
-const BOUNCE: f64 = 1.0;
+/// Each move takes this share of the hope that a further one earns; a second gives half as much back.
+const HOPE: f64 = 0.1;
 /// A delay note comes once a second while messages take long, and moves sessions as often.
 const NOTE: Time = 10_000;
-/// Share of a crowded server's load that is moved off it each time.
+/// Share of a crowded server's load that is moved off it each time, for each doubling of the delay.
 const EASED: f64 = 0.08;
-/// But never to less than this load: one that has to grow first before the next session fits.
+/// A cap on the load of a server is never less than this: it has to grow first before a session fits.
 const LEAST: f64 = 0.5;
 /// That cap grows back by this share a second.
 const REGROW: f64 = 0.03;
@@ -63,7 +62,7 @@
     entry: Entry,
     /// When we were told that it drains or is gone.
     told: Option<Time>,
-    /// When it joined our list; 0 if it stood there from the first.
+    /// When it joined our list; 0: from the first.
     joined: Time,
     /// Sessions of ours that stand there or are being dialled, and their load in mean loads of a session.
     held: u32,
@@ -82,7 +81,7 @@
     crowded: Time,
     delay: Time,
     eased: Time,
-    /// The most load of ours that it bears, learned from the sessions it dropped.
+    /// The most load of ours that it bears, learned when it was crowded.
     cap: f64,
     /// Dials out to it, and how many may be while it is fresh: one more for each answer.
     out: f64,
@@ -101,8 +100,8 @@
         self.entry.state == State::Ready
     }
 
-    /// A sign of life. It shows that the process answers, not that it serves: a server that takes connections and
-    /// drops them again would draw all who come again.
+    /// A sign of life. It shows that the process answers, not that it serves: a server that takes connections
+    /// and drops them again would draw all who come again.
     fn heard(&mut self, now: Time) {
         if self.misses > 0 {
             self.forget(0.5);
@@ -136,10 +135,6 @@
         (self.cap, self.trust, self.budget, self.counted) = (f64::INFINITY, 1.0, 0.0, now);
     }
 
-    fn take(&mut self, load: f64) {
-        (self.held, self.load) = (self.held + 1, self.load + load);
-    }
-
     fn release(&mut self, load: f64) {
         self.held = self.held.saturating_sub(1);
         self.load = if self.held == 0 { 0.0 } else { (self.load - load).max(0.0) };
@@ -198,7 +193,7 @@
     servers: Vec<Server>,
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
-    table: BTreeMap<u64, Vec<ServerIx>>,
+    table: BTreeMap<u64, Arc<[ServerIx]>>,
     /// The mean load that was told, and by how many notes.
     unit: f64,
     notes: f64,
@@ -206,6 +201,8 @@
     out: f64,
     window: f64,
     failed_at: Option<ServerIx>,
+    /// The chance that a session new on a crowded server is moved on.
+    hope: f64,
     /// Sessions that wait for the answer to a probe.
     waiting: Vec<SessIx>,
     next_round: Time,
@@ -229,6 +226,7 @@
             notes: 0.0,
             out: 0.0,
             window: f64::INFINITY,
+            hope: 1.0,
             failed_at: None,
             waiting: Vec::new(),
             next_round: now,
@@ -262,8 +260,8 @@
         }
     }
 
-    /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance so that the
-    /// proxies do not come back together, and well before this one counts as told of what it could not hear.
+    /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance so that
+    /// the proxies do not come back together, well before this one counts as told of what it could not hear.
     pub fn list_failed(&mut self, now: Time) {
         if self.set.on_request {
             let most = self.set.must_ask_in / 8;
@@ -277,7 +275,8 @@
         let sess = &mut self.sessions[ix];
         (sess.phase, sess.server, sess.dials) = (Phase::Stands, server, 1);
         let load = sess.load;
-        self.server(server).take(load);
+        let s = self.server(server);
+        (s.held, s.load) = (s.held + 1, s.load + load);
         ix
     }
 
@@ -295,11 +294,10 @@
         if !how.never_ran() {
             sess.may_have_run.get_or_insert((server, sess.sent));
         }
-        if !stood {
-            self.out -= 1.0;
-        }
-        // Errors on two servers in turn point at the session store behind all of them, which every further dial only
-        // loads: fewer dials at once. One server alone does not; dials that run out of time only say that it lasts.
+        let dials = f64::from(u8::from(!stood));
+        self.out -= dials;
+        // Errors on two servers in turn point at the session store behind all of them, which every further
+        // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts.
         let fails = how == How::Error || how == How::Late && self.window.is_finite();
         if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
             if self.window.is_infinite() {
@@ -309,7 +307,7 @@
         }
         let s = &mut self.servers[server];
         s.release(load);
-        s.out -= f64::from(u8::from(!stood));
+        s.out -= dials;
         match how {
             How::Accepted => s.served(now),
             How::Full => s.heard(now),
@@ -338,10 +336,11 @@
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
         let Some(sess) = self.sessions.try_remove(ix) else { return };
-        let dials = f64::from(u8::from(sess.phase == Phase::Dials));
-        self.out -= dials;
+        if sess.phase == Phase::Dials {
+            self.out -= 1.0;
+            self.servers[sess.server].out -= 1.0;
+        }
         if matches!(sess.phase, Phase::Dials | Phase::Stands) {
-            self.servers[sess.server].out -= dials;
             self.servers[sess.server].release(sess.load);
         }
     }
@@ -362,12 +361,11 @@
         s.served(now);
         s.load = (s.load + change).max(0.0);
         if let Note::Delay(delay) = note {
-            s.crowded = if delay > target / 2 { now + NOTE * 3 / 2 } else { 0 };
-            s.delay = delay;
+            (s.delay, s.crowded) = (delay, if delay > target / 2 { now + NOTE * 3 / 2 } else { 0 });
         }
     }
 
-    /// The answer to a probe; `load` is what was asked of the server over what it can do, where it tells that.
+    /// The answer to a probe; `load` is what is asked of the server over what it can do, where it tells that.
     pub fn probed(&mut self, now: Time, server: ServerIx, how: How, took: Time, load: f64) {
         let target = self.set.message_target;
         let s = self.server(server);
@@ -421,6 +419,7 @@
     /// Looks after each server, once a connect time-out.
     fn round(&mut self, now: Time) {
         let (round, probing) = (self.set.connect_timeout, self.set.probing);
+        self.hope += (1.0 - self.hope) * HOPE / 2.0 * round as f64 / NOTE as f64;
         for ix in 0..self.servers.len() {
             let s = &mut self.servers[ix];
             s.forget(FORGET * round as f64 / NOTE as f64);
@@ -450,9 +449,9 @@
         }
     }
 
-    /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest claim to
-    /// it, which are the same at every proxy, while some other server has room. A few at a time: each is set up
-    /// anew, and whole groups at once only carry the crowd to the next server.
+    /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest
+    /// claim to it, the same at every proxy, a few at a time: whole groups only carry the crowd to the next
+    /// server.
     fn ease(&mut self, now: Time, ix: ServerIx) {
         let (s, target) = (&self.servers[ix], self.set.message_target);
         if s.crowded <= now || now < s.eased + NOTE {
@@ -463,15 +462,15 @@
         if room.is_empty() && s.delay <= target * 4 {
             return;
         }
-        // Where no load is told, a new session is the test of a server that its proxy knows nothing of.
+        // Where no load is told, a new session is the test of a server of which its proxy knows nothing else.
         let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held).powi(2);
-        let bounce = if self.set.tells_load { 0.0 } else { BOUNCE * share * self.window.min(1.0) };
+        let bounce = if self.set.tells_load { 0.0 } else { self.hope * share * self.window.min(1.0) };
         // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
         let doublings = (s.delay as f64 / (target as f64 / 2.0)).max(1.0).log2();
         let (most, weight, id) = (s.load * (EASED * doublings.max(1.0)).min(0.5), self.weight(s), s.entry.id);
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        // With hundreds of proxies each holds a session or two there: one each would empty the server at once.
+        // With hundreds of proxies each holds a session or two there: one each would empty it at once.
         let (mut seen, mut moved) = (0.0, 0.0);
         for (_, sess) in claims {
             let x = &self.sessions[sess];
@@ -480,6 +479,7 @@
             seen += load;
             if self.paced(fits) > 0.0 {
                 moved += load;
+                self.hope *= 1.0 - HOPE;
                 self.todo.push(Chore::Move(sess));
             }
         }
@@ -488,7 +488,7 @@
         (s.eased, s.cap) = (now, s.cap.min(s.load - moved).max(LEAST));
     }
 
-    /// A whole number that is so many on average: what each of many proxies does, together they do at that pace.
+    /// A whole number that is so many on average: at that pace many proxies act together.
     fn paced(&mut self, mean: f64) -> f64 {
         (mean + self.rng.random::<f64>()).floor()
     }
@@ -552,12 +552,12 @@
                 }
                 return Verdict::Wait;
             }
-            // What a dial that ran out of time had asked of the session store is still worked on there, and a
-            // slow one is jammed by dials that are made again: only one to a server in doubt leaves room for another.
+            // The store still works on what a dial that ran out of time had asked of it, and jams by dials
+            // that are made again: only one to a server in doubt leaves room for another.
             let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
             let s = &mut self.servers[server];
-            s.take(sess.load);
+            (s.held, s.load) = (s.held + 1, s.load + sess.load);
             (s.out, s.budget) = (s.out + 1.0, s.budget - 1.0);
             let x = &mut self.sessions[ix];
             (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
@@ -573,8 +573,7 @@
         Verdict::Refuse { retry_after: if self.set.retry_after { wait } else { 0 } }
     }
 
-    /// With hundreds of proxies none sees by its own sessions what a server bears: it asks one of which it holds
-    /// nothing before it sends there.
+    /// With hundreds of proxies none sees by its own sessions what a server bears: it asks before its first.
     fn unknown(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let (s, wait) = (&self.servers[ix], self.set.connect_timeout);
         let free = self.set.probing && sess.dials == 0 && !sess.ask.mid_flow && sess.probes < WALK;
@@ -595,17 +594,16 @@
                 return owner;
             }
         }
-        if !self.table.contains_key(&sess.bucket) {
-            self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
-        }
-        let ranking = self.table[&sess.bucket].clone();
+        let ranking = self.table.get(&sess.bucket).cloned();
+        let ranking = ranking.unwrap_or_else(|| self.rank(sess.bucket, Server::ready).into());
+        self.table.insert(sess.bucket, Arc::clone(&ranking));
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let (mean, servers) = (load / weight, ranking.len() as f64);
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
-        for ix in ranking {
-            // Each server that holds any of a group pays for it: the walk ends early, so that a crowd does not scatter
-            // its groups. A group as large as several servers' mean load may walk on by twice as many.
+        for &ix in ranking.iter() {
+            // Each server that holds any of a group pays for it, so a crowd must not scatter its groups: the
+            // walk ends early. A group as large as several servers' mean load may walk on by twice as many.
             let group = || self.sessions.iter().filter(|(_, x)| x.bucket == sess.bucket);
             let larger = || 2.0 * group().map(|(_, x)| x.load).sum::<f64>() * servers / load.max(1.0);
             if full >= WALK && full >= WALK + larger() as usize {
@@ -655,8 +653,8 @@
         }
     }
 
-    /// A cold server takes no more than our share of what it can do, guessed from what warm servers hold: clients that
-    /// come again after a failure swell the count of sends but not that.
+    /// A cold server takes no more than our share of what it can do, guessed from what warm servers hold:
+    /// clients that come again after a failure swell the count of sends but not that.
     fn within_budget(&mut self, now: Time, ix: ServerIx, mean: f64) -> bool {
         let (cold, start, multiple) = (self.set.cold, self.set.start_capacity, self.set.fall_multiple);
         let (span, fill) = (self.set.overload_for as f64, mean * self.weight(&self.servers[ix]));
