--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -32,7 +32,7 @@
 /// Share of a silent server's sessions that is moved off it each connect time-out.
 const MOVED: f64 = 0.25;
 /// A server counts as crowded when it tells that so much of what it can do is asked of it.
-const FULL: f64 = 0.9;
+const FULL: f64 = 0.6;
 /// The share of those who come again after a break or a move that passes over a server not met yet.
 const AGAIN: f64 = 0.5;
 /// Each move takes this share of the hope that a further one earns; a second gives half as much back.
@@ -454,7 +454,7 @@
     /// server.
     fn ease(&mut self, now: Time, ix: ServerIx) {
         let (s, target) = (&self.servers[ix], self.set.message_target);
-        if s.crowded <= now || now < s.eased + NOTE {
+        if s.crowded <= now || s.delay <= target / 2 || now < s.eased + NOTE {
             return;
         }
         let ready = self.servers.iter().filter(|o| o.ready());
