--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -201,7 +201,7 @@
     out: f64,
     window: f64,
     failed_at: Option<ServerIx>,
-    /// The chance that a session new on a crowded server is moved on.
+    /// What moving on promises: falls with each session moved, comes back with time.
     hope: f64,
     /// Sessions that wait for the answer to a probe.
     waiting: Vec<SessIx>,
@@ -620,7 +620,7 @@
             // A client that comes again after a break or a move tells of a crowd that this proxy has not met.
             let unmet = sess.ask.again && sess.dials == 0 && s.held == 0 && !self.set.tells_load;
             let most = CLEARLY * mean * self.weight(s) + 1.0;
-            let over = s.crowded > now || s.load >= most || unmet && self.rng.random_bool(AGAIN);
+            let over = s.crowded > now || s.load >= most || unmet && self.rng.random_bool(AGAIN * self.hope);
             // A doubtful server's work is drawn from the posterior of its chance of success.
             let chance = Beta::new(s.good, s.bad).expect("both above 0");
             if sess.dials > 0 && ix == sess.server || s.bad > 1.5 && chance.sample(&mut self.rng) < 0.5 {
