Tidy: a bucket's row is written once, take beside release, a clamp that could not act goes out

Found on reading the whole change again: the table wrote a row back on each dial; what a server holds was added up in two places by hand; leaving was written anew for no gain; the delay is over half the target where its doublings are taken.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -1,10 +1,9 @@
 //! Where each session goes: every decision of a larklink proxy, with no I/O, clock or wire.
 //!
-//! How to call it. Make one [`Balancer`] a proxy, hand it the server list with [`Balancer::heard_list`] and
-//! ask: [`Balancer::place`] says where a session goes, [`Balancer::settled`] whether it goes again. Tell it
-//! what else is seen ([`Balancer::stood`], `noted`, `probed`, `left`); after each call, and when
-//! [`Balancer::due`] has come, carry out what [`Balancer::chores`] returns. No call blocks. Its interface,
-//! plain values, is defined in `types.rs`.
+//! How to call it. Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]) and ask
+//! where a session goes ([`Balancer::place`]) and whether again ([`Balancer::settled`]). Tell it what else is
+//! seen (`stood`, `noted`, `probed`, `left`); after each call, and when [`Balancer::due`] has come, carry out
+//! what [`Balancer::chores`] returns. No call blocks. Its interface, plain values, is defined in `types.rs`.
 //!
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
 use std::{collections::BTreeMap, sync::Arc};
@@ -135,6 +134,10 @@
         (self.cap, self.trust, self.budget, self.counted) = (f64::INFINITY, 1.0, 0.0, now);
     }
 
+    fn take(&mut self, load: f64) {
+        (self.held, self.load) = (self.held + 1, self.load + load);
+    }
+
     fn release(&mut self, load: f64) {
         self.held = self.held.saturating_sub(1);
         self.load = if self.held == 0 { 0.0 } else { (self.load - load).max(0.0) };
@@ -275,8 +278,7 @@
         let sess = &mut self.sessions[ix];
         (sess.phase, sess.server, sess.dials) = (Phase::Stands, server, 1);
         let load = sess.load;
-        let s = self.server(server);
-        (s.held, s.load) = (s.held + 1, s.load + load);
+        self.server(server).take(load);
         ix
     }
 
@@ -336,11 +338,10 @@
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
         let Some(sess) = self.sessions.try_remove(ix) else { return };
-        if sess.phase == Phase::Dials {
-            self.out -= 1.0;
-            self.servers[sess.server].out -= 1.0;
-        }
+        let dials = f64::from(u8::from(sess.phase == Phase::Dials));
+        self.out -= dials;
         if matches!(sess.phase, Phase::Dials | Phase::Stands) {
+            self.servers[sess.server].out -= dials;
             self.servers[sess.server].release(sess.load);
         }
     }
@@ -450,8 +451,7 @@
     }
 
     /// A server where messages take long serves nobody well: moves sessions of the groups with the weakest
-    /// claim to it, the same at every proxy, a few at a time: whole groups only carry the crowd to the next
-    /// server.
+    /// claim to it, the same at every proxy, a few at a time: whole groups only carry the crowd on.
     fn ease(&mut self, now: Time, ix: ServerIx) {
         let (s, target) = (&self.servers[ix], self.set.message_target);
         if s.crowded <= now || s.delay <= target / 2 || now < s.eased + NOTE {
@@ -466,8 +466,8 @@
         let share = room.len() as f64 / (room.len() + none.len()) as f64 / f64::from(s.held).powi(2);
         let bounce = if self.set.tells_load { 0.0 } else { self.hope * share * self.window.min(1.0) };
         // The more so for each doubling of what a message takes: what is piled up has to be worked off too.
-        let doublings = (s.delay as f64 / (target as f64 / 2.0)).max(1.0).log2();
-        let (most, weight, id) = (s.load * (EASED * doublings.max(1.0)).min(0.5), self.weight(s), s.entry.id);
+        let doublings = (s.delay as f64 / (target as f64 / 2.0)).log2().max(1.0);
+        let (most, weight, id) = (s.load * (EASED * doublings).min(0.5), self.weight(s), s.entry.id);
         let mut claims: Vec<_> = self.standing(ix).map(|(i, x)| (claim(x.bucket, id, weight), i)).collect();
         claims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         // With hundreds of proxies each holds a session or two there: one each would empty it at once.
@@ -557,7 +557,7 @@
             let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
             let s = &mut self.servers[server];
-            (s.held, s.load) = (s.held + 1, s.load + sess.load);
+            s.take(sess.load);
             (s.out, s.budget) = (s.out + 1.0, s.budget - 1.0);
             let x = &mut self.sessions[ix];
             (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
@@ -594,9 +594,10 @@
                 return owner;
             }
         }
-        let ranking = self.table.get(&sess.bucket).cloned();
-        let ranking = ranking.unwrap_or_else(|| self.rank(sess.bucket, Server::ready).into());
-        self.table.insert(sess.bucket, Arc::clone(&ranking));
+        if !self.table.contains_key(&sess.bucket) {
+            self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready).into());
+        }
+        let ranking = Arc::clone(&self.table[&sess.bucket]);
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
         let (mean, servers) = (load / weight, ranking.len() as f64);
