SIGHUP reads the configuration anew; the list is followed at its new discovery

Cause: main.rs asked for SIGTERM and SIGINT only, so SIGHUP kept its default action; no code read the file a second time, and follow() in discovery.rs knew one agent for good. Now: reload.rs reads the file, a bad one is warned of and leaves all as it was; follow() drops watch and index and asks the new agent for the whole list; as often as the signal comes. The test starts the program itself; without the change it ends on the signal.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -107,7 +107,7 @@
 }
 
 /// What a settings object says.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(from = "Info")]
 pub struct Facts {
     pub settings: Settings,
--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -24,7 +24,7 @@
     pub settings: Facts,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// File descriptors that the process may hold.
     pub sockets: usize,
--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -1,10 +1,12 @@
 //! Follows the list of servers: one kept HTTP connection to the agent, a watch after a watch.
+use std::convert::Infallible;
 use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use larklink::types::{Entry, Scope, State, Time};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -71,9 +73,28 @@
     }
 }
 
-/// Follows the list for as long as the proxy runs.
-pub async fn follow(agent: SocketAddr, must_ask_in: Time, queue: Queue, mut chance: ChaCha8Rng) {
-    let wait = span(must_ask_in) / WAIT;
+/// Follows the list for as long as the proxy runs, always at the latest address that it was given. With a new
+/// one the old watch ends and its index counts for nothing: another agent counts its lists by itself.
+pub async fn follow(
+    mut agent: SocketAddr,
+    moved: Receiver<SocketAddr>,
+    must_ask_in: Time,
+    queue: Queue,
+    mut chance: ChaCha8Rng,
+) {
+    loop {
+        let new = async {
+            match moved.recv().await {
+                Ok(to) => to,
+                Err(_) => future::pending().await,
+            }
+        };
+        let old = async { match watch(agent, span(must_ask_in) / WAIT, &queue, &mut chance).await {} };
+        agent = new.or(old).await;
+    }
+}
+
+async fn watch(agent: SocketAddr, wait: Duration, queue: &Queue, chance: &mut ChaCha8Rng) -> Infallible {
     let (mut link, mut index, mut lost) = (None, None, false);
     loop {
         let path = match index {
@@ -97,7 +118,7 @@
                 } else {
                     // Changes to a list that we do not have.
                     index = None;
-                    pause(&mut chance).await;
+                    pause(chance).await;
                 }
             }
             Err(e) => {
@@ -106,7 +127,7 @@
                     tracing::warn!("discovery: {e}");
                 }
                 queue.send(Event::ListFailed).await;
-                pause(&mut chance).await;
+                pause(chance).await;
             }
         }
     }
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod log;
 pub mod probes;
 pub mod proxy;
+pub mod reload;
 pub mod servers;
--- a/crates/larklink-proxy/src/main.rs
+++ b/crates/larklink-proxy/src/main.rs
@@ -9,7 +9,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use larklink_proxy::config::Config;
-use larklink_proxy::{log, proxy};
+use larklink_proxy::{log, proxy, reload::Reload};
 use socket2::{Domain, Socket, Type};
 
 /// Connections that the kernel holds until they are taken.
@@ -21,7 +21,7 @@
         eprintln!("usage: larklink CONFIG, or ROUTER_CONFIG in the environment");
         return ExitCode::FAILURE;
     };
-    match Config::read(&path).and_then(start) {
+    match Config::read(&path).and_then(|config| start(path, config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
             eprintln!("larklink: {wrong}");
@@ -30,23 +30,29 @@
     }
 }
 
-fn start(config: Config) -> Result<(), String> {
+fn start(path: PathBuf, config: Config) -> Result<(), String> {
     let _log = log::start();
     let listener = listen(&config).map_err(|e| format!("{}: {e}", config.listen))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
-    tracing::info!(name = config.name, listen = %config.listen, "starts");
+    let mut signals =
+        Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    tracing::info!(name = config.name, listen = %address, "starts");
     let executor = Rc::new(LocalExecutor::new());
     let (stop, stopping) = async_channel::bounded(1);
+    let (to, moved) = async_channel::bounded(1);
+    let mut reload = Reload::new(path, config.clone(), to);
     executor
         .spawn(async move {
-            signals.next().await;
-            // Closes the channel.
-            drop(stop);
-            // A second signal is let pass.
-            while signals.next().await.is_some() {}
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Signal::Hup) => reload.again(),
+                    // A second one is let pass.
+                    _ => _ = stop.close(),
+                }
+            }
         })
         .detach();
-    let run = proxy::run(config, listener, stopping, Rc::clone(&executor));
+    let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor));
     async_io::block_on(executor.run(run)).map_err(|e| e.to_string())
 }
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -1,6 +1,6 @@
 //! Puts a proxy together: takes connections in, and stops in good order.
 use std::cell::Cell;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -29,11 +29,12 @@
 const LONGEST: Duration = Duration::from_secs(3);
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Runs a proxy until `stop` closes and it has stopped.
+/// Runs a proxy until `stop` closes and it has stopped. `moved` brings each new address of discovery.
 pub async fn run(
     config: Config,
     listener: TcpListener,
     stop: Receiver<()>,
+    moved: Receiver<SocketAddr>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
     let listener = Async::new(listener)?;
@@ -49,7 +50,8 @@
     };
     let owner = Owner::new(&facts, config.seed, known, queue.clone(), Rc::clone(&executor));
     executor.spawn(owner.run(events)).detach();
-    let watch = discovery::follow(config.discovery, facts.settings.must_ask_in, queue.clone(), chance(1));
+    let must_ask_in = facts.settings.must_ask_in;
+    let watch = discovery::follow(config.discovery, moved, must_ask_in, queue.clone(), chance(1));
     executor.spawn(watch).detach();
     let sockets = config.limits.sockets;
     let front = Rc::new(Front {
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -2,6 +2,7 @@
 //! line or an end that must come; nothing sleeps.
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -18,6 +19,22 @@
     thread: JoinHandle<()>,
 }
 
+/// The program; it goes with the test.
+struct Program(Child);
+
+impl Program {
+    fn hang_up(&self) {
+        let pid = rustix::process::Pid::from_child(&self.0);
+        rustix::process::kill_process(pid, rustix::process::Signal::HUP).unwrap();
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill().and_then(|()| self.0.wait());
+    }
+}
+
 /// A line and the connection it came on.
 struct Peer(BufReader<TcpStream>);
 
@@ -90,12 +107,26 @@
 }
 
 fn start(servers: &[SocketAddr], agent: SocketAddr, mode: &str, sockets: usize) -> Proxy {
+    let config: Config = serde_json::from_str(&config(servers, agent, mode, sockets)).unwrap();
+    let listener = TcpListener::bind(config.listen).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopping) = async_channel::bounded(1);
+    let (_, moved) = async_channel::bounded(1);
+    let thread = thread::spawn(move || {
+        let executor = Rc::new(LocalExecutor::new());
+        let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor));
+        async_io::block_on(executor.run(run)).unwrap();
+    });
+    Proxy { address, stop, thread }
+}
+
+fn config(servers: &[SocketAddr], agent: SocketAddr, mode: &str, sockets: usize) -> String {
     let known: Vec<_> =
         servers.iter().enumerate().map(|(n, a)| endpoint(&format!("s-{n}"), *a, "up")).collect();
     let grade = |name: &str, kind: &str| {
         format!(r#"{{"name":"{name}","idempotency":"{kind}","aim_ns":500000000,"deadline_ns":300000000}}"#)
     };
-    let config = format!(
+    format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{agent}","seed":"7","limits":{{"sockets":{sockets}}},
             "known":{},"settings":{{"grades":[{},{}],"domain":{{"mode":"{mode}"}},
             "policy_limits":{{"dial_timeout_ns":250000000,"send_cap":2,"retry_after":true,
@@ -104,17 +135,7 @@
         list(1, true, &known),
         grade("chat", "idempotent"),
         grade("pay", "at_most_once"),
-    );
-    let config: Config = serde_json::from_str(&config).unwrap();
-    let listener = TcpListener::bind(config.listen).unwrap();
-    let address = listener.local_addr().unwrap();
-    let (stop, stopping) = async_channel::bounded(1);
-    let thread = thread::spawn(move || {
-        let executor = Rc::new(LocalExecutor::new());
-        let run = proxy::run(config, listener, stopping, Rc::clone(&executor));
-        async_io::block_on(executor.run(run)).unwrap();
-    });
-    Proxy { address, stop, thread }
+    )
 }
 
 fn quiet(servers: &[SocketAddr]) -> Proxy {
@@ -122,8 +143,8 @@
 }
 
 /// A client whose session stands at a server, both ends of it.
-fn standing(proxy: &Proxy, listener: &TcpListener) -> (Peer, Peer) {
-    let mut client = Peer::connect(proxy.address, "OPEN 1 2 c=chat,t=acme,d=2000,g=3\r\n");
+fn standing(proxy: SocketAddr, listener: &TcpListener) -> (Peer, Peer) {
+    let mut client = Peer::connect(proxy, "OPEN 1 2 c=chat,t=acme,d=2000,g=3\r\n");
     let mut server = Peer::accept(listener);
     assert!(server.hear().starts_with("OPEN 1 2 "));
     server.say("UP 77\r\n");
@@ -155,16 +176,16 @@
 fn each_side_is_ended_as_the_other_ended() {
     let (listener, at) = server();
     let proxy = quiet(&[at]);
-    let (client, mut server) = standing(&proxy, &listener);
+    let (client, mut server) = standing(proxy.address, &listener);
     drop(client);
     server.ends();
-    let (client, mut server) = standing(&proxy, &listener);
+    let (client, mut server) = standing(proxy.address, &listener);
     client.reset();
     server.breaks();
-    let (mut client, server) = standing(&proxy, &listener);
+    let (mut client, server) = standing(proxy.address, &listener);
     server.reset();
     client.breaks();
-    let (mut client, server) = standing(&proxy, &listener);
+    let (mut client, server) = standing(proxy.address, &listener);
     drop(server);
     client.ends();
 }
@@ -251,7 +272,7 @@
 fn without_descriptors_a_client_is_refused_at_once() {
     let (listener, at) = server();
     let proxy = start(&[at], nobody(), "proxy", 8);
-    let held: Vec<_> = (0..3).map(|_| standing(&proxy, &listener)).collect();
+    let held: Vec<_> = (0..3).map(|_| standing(proxy.address, &listener)).collect();
     let mut client = Peer::new(TcpStream::connect(proxy.address).unwrap());
     assert_eq!(client.hear(), "BUSY\r\n");
     drop(held);
@@ -294,7 +315,7 @@
     assert_eq!(asked(&mut watch), "/api/targets");
     told(&mut watch, &list(41, true, &[endpoint("s-1", at, "up")]));
     assert!(asked(&mut watch).starts_with("/api/targets?after=41&wait_ms="));
-    let (mut client, mut server) = standing(&proxy, &listener);
+    let (mut client, mut server) = standing(proxy.address, &listener);
     server.say("one\r\nhalf of two");
     assert_eq!(client.hear(), "one\r\n");
     told(&mut watch, &list(43, false, &[endpoint("s-1", at, "draining")]));
@@ -308,7 +329,7 @@
 fn a_proxy_that_stops_answers_new_sessions_and_moves_what_it_holds() {
     let (listener, at) = server();
     let proxy = quiet(&[at]);
-    let (mut client, mut server) = standing(&proxy, &listener);
+    let (mut client, mut server) = standing(proxy.address, &listener);
     drop(proxy.stop);
     let mut late = Peer::connect(proxy.address, "OPEN 1 2 c=chat,d=2000\r\n");
     let mut to = Peer::accept(&listener);
@@ -327,10 +348,50 @@
 fn where_packets_pass_through_a_proxy_that_stops_moves_nobody() {
     let (listener, at) = server();
     let proxy = start(&[at], nobody(), "pass", 1024);
-    let (mut client, _server) = standing(&proxy, &listener);
+    let (mut client, _server) = standing(proxy.address, &listener);
     drop(proxy.stop);
     proxy.thread.join().unwrap();
     client.0.get_ref().set_nonblocking(true).unwrap();
     let nothing = client.0.read(&mut [0]).map_err(|e| e.kind());
     assert_eq!(nothing, Err(ErrorKind::WouldBlock), "the connection is left as it is");
 }
+
+/// The program itself: it ended on SIGHUP, and each session with it.
+#[test]
+fn on_sighup_the_list_is_asked_for_at_the_new_address_and_sessions_go_on() {
+    let ((first, a), (second, b), (agent, old), (other, new)) = (server(), server(), server(), server());
+    let path = std::env::temp_dir().join(format!("larklink-{}.json", std::process::id()));
+    std::fs::write(&path, config(&[a], old, "proxy", 1024)).unwrap();
+    let program = Command::new(env!("CARGO_BIN_EXE_larklink")).arg(&path).stderr(Stdio::piped()).spawn();
+    let mut program = Program(program.unwrap());
+    let mut log = BufReader::new(program.0.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let started = log.find_map(|l| l.split_once("listen=").map(|(_, at)| at.parse().unwrap()));
+    let address: SocketAddr = started.unwrap();
+    let mut watch = Peer::accept(&agent);
+    asked(&mut watch);
+    told(&mut watch, &list(41, true, &[endpoint("s-0", a, "up")]));
+    assert!(asked(&mut watch).starts_with("/api/targets?after=41&"));
+    let (mut client, mut server) = standing(address, &first);
+    // A file that cannot be read changes nothing, and is warned of.
+    std::fs::write(&path, "{").unwrap();
+    program.hang_up();
+    assert!(log.any(|l| l.contains("WARN the configuration stands as it was")));
+    told(&mut watch, &list(42, false, &[]));
+    assert!(asked(&mut watch).starts_with("/api/targets?after=42&"));
+    for index in [7, 3] {
+        std::fs::write(&path, config(&[a], new, "proxy", 1024)).unwrap();
+        program.hang_up();
+        watch.ends();
+        watch = Peer::accept(&other);
+        assert_eq!(asked(&mut watch), "/api/targets", "the old index counts for nothing");
+        told(&mut watch, &list(index, true, &[endpoint("s-0", a, "up"), endpoint("s-1", b, "up")]));
+        assert!(asked(&mut watch).starts_with(&format!("/api/targets?after={index}&")));
+    }
+    client.say("still here\r\n");
+    assert_eq!(server.hear(), "still here\r\n");
+    // The new list counts.
+    told(&mut watch, &list(8, true, &[endpoint("s-1", b, "up")]));
+    assert!(asked(&mut watch).contains("after=8"));
+    standing(address, &second);
+    std::fs::remove_file(&path).unwrap();
+}
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -29,14 +29,14 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Listener {
     pub kind: Kind,
     pub handshake_target: Time,
 }
 
 /// What a proxy is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub listeners: Vec<Listener>,
     /// The list's weights compare sizes and stand still.
