Bad clients are failed within 2 s; silent ones hold one descriptor and give way

Traced with first lines logged. Faults: clients.rs let 5 s pass for a first line and 60 s after a probe, and took two descriptors for each connection, so that some 200 silent ones fill a proxy; no id was checked: a bad client's OPEN with the id of another's open session is failed by each server it is sent to, which looked like a session store in trouble; what came before UP was kept for the server; the drain of what an answered client still sends ended after 0.5 s in 4 KiB bites. The new tests fail on the sources before.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -1,6 +1,7 @@
 //! Connections from clients: each has a task of its own, from its first line to its end.
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,14 +19,18 @@
 use crate::discovery::server_id;
 use crate::lines::{Head, Inbox, Word, head, with_wait, word};
 use crate::log::Reason;
+use crate::room::{Place, Room};
 use crate::servers::{Link, dial, read, within};
 
-/// How long a client may take over its first line, and between probes.
-const HEAD: Duration = Duration::from_secs(5);
-const IDLE: Duration = Duration::from_secs(60);
+/// How long a client may take over its first line, or over the next after a probe. Who sends none is owed an
+/// end within 3 s.
+const HEAD: Duration = Duration::from_secs(2);
 /// How long what we have closed may take to close its side: without that, unread bytes would reset the
-/// connection and could take our last line with them.
+/// connection and could take our last line with them. While bytes still come it may take longer.
 const LINGER: Duration = Duration::from_millis(500);
+const DRAIN: Duration = Duration::from_secs(3);
+/// Bytes of that which are read at once.
+const GULP: usize = 64 << 10;
 /// A client that is to move gets the line within this time, or is cut off.
 const STUCK: Duration = Duration::from_secs(1);
 /// A server that has brought nothing back for this long is silent.
@@ -51,40 +56,46 @@
     pub last: Duration,
     pub stopped: Cell<Option<Instant>>,
     pub next: Cell<u32>,
-    /// Descriptors left for sessions.
-    pub room: Cell<usize>,
+    pub room: Rc<Room>,
+    /// The ids of the sessions that are open here, and their clients' keys.
+    pub open: RefCell<HashMap<u64, u64>>,
 }
 
-/// A session's two descriptors.
-struct Room(Rc<Front>);
-
-impl Room {
-    fn take(front: &Rc<Front>) -> Option<Self> {
-        front.room.set(front.room.get().checked_sub(2)?);
-        Some(Self(Rc::clone(front)))
-    }
+struct Client {
+    link: Link,
+    place: Place,
 }
 
-impl Drop for Room {
+/// A session's id while it is open.
+struct Named<'a>(&'a Front, u64);
+
+impl Drop for Named<'_> {
     fn drop(&mut self) {
-        self.0.room.set(self.0.room.get() + 2);
+        self.0.open.borrow_mut().remove(&self.1);
     }
 }
 
 /// Serves one connection; its end leaves one line in the log.
-pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>) {
+pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>, place: Place) {
     let started = Instant::now();
-    let mut client = Link::new(stream);
-    let (session, reason) = match Room::take(&front) {
-        Some(_room) => front.serve(&mut client).await,
-        None => {
-            // Nobody's dial has run: trying again is harmless. There is no descriptor to wait on its end
-            // with.
-            let _ = std::io::Write::write(&mut client.stream.get_ref(), b"BUSY\r\n");
-            let _ = client.inbox.fill(|buf| std::io::Read::read(&mut client.stream.get_ref(), buf));
-            (None, Reason::NoRoom)
-        }
-    };
+    let mut client = Client { link: Link::new(stream), place };
+    let (session, reason) = front.serve(&mut client).await;
+    log_end(session, reason, started);
+}
+
+/// Refuses a connection for which there is no descriptor. Nobody's dial has run: trying again is harmless.
+pub fn turn_away(stream: &Async<TcpStream>) {
+    busy_at_once(stream);
+    log_end(None, Reason::NoRoom, Instant::now());
+}
+
+fn busy_at_once(stream: &Async<TcpStream>) {
+    let _ = std::io::Write::write(&mut stream.get_ref(), b"BUSY\r\n");
+    // What has come already would make its end a reset.
+    let _ = swallow(stream.get_ref());
+}
+
+fn log_end(session: Option<u32>, reason: Reason, started: Instant) {
     let session = session.map(|s| s.to_string()).unwrap_or_default();
     tracing::info!(session, reason = %reason, ms = started.elapsed().as_millis() as u64, "end");
 }
@@ -97,40 +108,42 @@
         stopped + self.last
     }
 
-    async fn serve(&self, client: &mut Link) -> (Option<u32>, Reason) {
-        let mut pinged = false;
-        let line = loop {
-            let n = match within(if pinged { IDLE } else { HEAD }, client.line()).await {
-                Ok(n) => n,
-                Err(e) => {
-                    let reason = match e.kind() {
-                        std::io::ErrorKind::InvalidData => Reason::BadLine,
-                        _ if pinged => Reason::Pinged,
-                        std::io::ErrorKind::TimedOut => Reason::HeadStalled,
-                        _ => Reason::ClientLeft,
-                    };
-                    if matches!(reason, Reason::BadLine | Reason::HeadStalled) {
-                        answer(client, "ERR\r\n").await;
-                    }
-                    return (None, reason);
+    async fn serve(&self, client: &mut Client) -> (Option<u32>, Reason) {
+        let give_way = client.place.must_go();
+        let give_way = async {
+            give_way.await;
+            None
+        };
+        let first = async { Some(self.first_line(client).await) };
+        let line = match first.or(give_way).await {
+            Some(Ok(line)) => line,
+            Some(Err(reason)) => {
+                if matches!(reason, Reason::BadLine | Reason::HeadStalled) {
+                    answer(client, "ERR\r\n").await;
                 }
-            };
-            let line = client.inbox.bytes()[..n].to_vec();
-            client.inbox.consume(n);
-            if line != b"PING\r\n" {
-                break line;
+                return (None, reason);
             }
-            pinged = true;
-            if client.stream.write_all(b"PONG\r\n").await.is_err() {
-                return (None, Reason::Pinged);
+            None => {
+                busy_at_once(&client.link.stream);
+                return (None, Reason::NoRoom);
             }
         };
         let head = head(&line).and_then(|h| {
             let listener = self.listeners.iter().position(|l| l == h.listener).ok_or("no such listener")?;
-            Ok((h, listener))
+            match self.open.borrow().get(&h.id) {
+                // Its packets may come here by another way than before.
+                Some(&key) if !(h.mid_flow && key == h.key) => Err("the id of another that is open"),
+                _ => Ok((h, listener)),
+            }
         });
         match head {
+            Ok(_) if !client.place.seat() => {
+                busy_at_once(&client.link.stream);
+                (None, Reason::NoRoom)
+            }
             Ok((head, listener)) => {
+                self.open.borrow_mut().insert(head.id, head.key);
+                let _named = Named(self, head.id);
                 let session = self.next.get();
                 self.next.set(session.wrapping_add(1));
                 (Some(session), self.session(session, client, &line, head, listener).await)
@@ -143,10 +156,39 @@
         }
     }
 
+    /// Answers probes until there is another line; or says how it ended.
+    async fn first_line(&self, client: &mut Client) -> Result<Vec<u8>, Reason> {
+        let mut pinged = false;
+        loop {
+            let step = async {
+                let n = client.link.line().await?;
+                let line = client.link.inbox.bytes()[..n].to_vec();
+                client.link.inbox.consume(n);
+                client.place.spoke();
+                if line == b"PING\r\n" {
+                    client.link.stream.write_all(b"PONG\r\n").await?;
+                }
+                Ok(line)
+            };
+            match within(HEAD, step).await {
+                Ok(line) if line == b"PING\r\n" => pinged = true,
+                Ok(line) => return Ok(line),
+                Err(e) => {
+                    return Err(match e.kind() {
+                        ErrorKind::InvalidData => Reason::BadLine,
+                        _ if pinged => Reason::Pinged,
+                        ErrorKind::TimedOut => Reason::HeadStalled,
+                        _ => Reason::ClientLeft,
+                    });
+                }
+            }
+        }
+    }
+
     async fn session(
         &self,
         session: u32,
-        client: &mut Link,
+        client: &mut Client,
         line: &[u8],
         head: Head<'_>,
         listener: usize,
@@ -166,53 +208,60 @@
             return self.stand(session, client, line, ask, server, (sender, orders)).await;
         }
         self.queue.send(Event::Open { session, ask, orders: sender }).await;
-        loop {
-            let order = async { orders.recv().await.ok() }.or(gone(client)).await;
-            match order {
-                Some(Order::Dial { dial: number, server, address, limit }) => {
+        let reason = loop {
+            let order = async { orders.recv().await.ok().ok_or(Reason::ClientLeft) };
+            match order.or(stirs(client, head.mid_flow)).await {
+                // Only the first needs another descriptor: nothing has run.
+                Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
+                Ok(Order::Dial { dial: number, server, address, limit }) => {
                     let wait = (limit / 10).max(1).to_string();
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let work = async {
-                        Some(match address {
+                        Ok(match address {
                             Some(to) => dial(to, &mut slices, span(limit), self.connect_timeout).await,
                             None => Err(How::Unmade),
                         })
                     };
-                    match work.or(gone(client)).await {
-                        None => break,
-                        Some(Err(how)) => {
+                    match work.or(stirs(client, head.mid_flow)).await {
+                        Err(reason) => break reason,
+                        Ok(Err(how)) => {
                             self.queue.send(Event::Settled { session, dial: number, how, over: false }).await
                         }
-                        Some(Ok(link)) => {
+                        Ok(Ok(link)) => {
                             self.queue.send(Event::Stood { session, dial: number }).await;
                             return self.standing(session, number, server, client, link, &orders).await;
                         }
                     }
                 }
-                Some(Order::Refuse { retry_after }) => {
+                Ok(Order::Refuse { retry_after }) => {
                     match retry_after.div_ceil(10) {
                         0 => answer(client, "BUSY\r\n").await,
                         ms => answer(client, &format!("BUSY {ms}\r\n")).await,
                     }
                     return Reason::Refused;
                 }
-                Some(Order::TearDown) => {
+                Ok(Order::TearDown) => {
                     answer(client, "ERR\r\n").await;
                     return Reason::TornDown;
                 }
-                Some(Order::Move) => {}
-                None => break,
+                Ok(Order::Move) => {}
+                Err(reason) => break reason,
             }
-        }
+        };
         self.queue.send(Event::Left { session }).await;
-        Reason::ClientLeft
+        match reason {
+            Reason::NoRoom => answer(client, "BUSY\r\n").await,
+            Reason::BadLine => answer(client, "ERR\r\n").await,
+            _ => {}
+        }
+        reason
     }
 
     /// A connection that stood at a server before the run goes there again.
     async fn stand(
         &self,
         session: u32,
-        client: &mut Link,
+        client: &mut Client,
         line: &[u8],
         ask: Session,
         server: u32,
@@ -220,8 +269,10 @@
     ) -> Reason {
         let until = Instant::now() + STAND;
         self.queue.send(Event::Stands { session, server, orders: sender }).await;
+        let room = client.place.second();
         let work = async {
             let Ok(Order::Dial { address: Some(address), .. }) = orders.recv().await else { return None };
+            room.then_some(())?;
             loop {
                 let left = until.saturating_duration_since(Instant::now());
                 let mut slices = [std::io::IoSlice::new(line)];
@@ -234,7 +285,7 @@
             }
         };
         let stood = work.or(async {
-            gone::<()>(client).await;
+            let _ = stirs::<()>(client, true).await;
             None
         });
         match stood.await {
@@ -256,7 +307,7 @@
         session: u32,
         dial: u8,
         server: u32,
-        client: &mut Link,
+        client: &mut Client,
         mut link: Link,
         orders: &Receiver<Order>,
     ) -> Reason {
@@ -265,14 +316,14 @@
             session,
             dial,
             server,
-            to_client: &client.stream,
+            to_client: &client.link.stream,
             to_server: &link.stream,
             writing: Cell::new(false),
             sent: RefCell::default(),
             told: Cell::default(),
         };
         let (reason, how) =
-            pipe.up(&mut client.inbox).or(pipe.down(&mut link.inbox)).or(pipe.told(orders)).await;
+            pipe.up(&mut client.link.inbox).or(pipe.down(&mut link.inbox)).or(pipe.told(orders)).await;
         let event = match how {
             Some(how) => Event::Settled { session, dial, how, over: true },
             None => Event::Left { session },
@@ -282,10 +333,11 @@
         match reason {
             Reason::ClientReset => reset(&link.stream),
             Reason::ClientLeft => close(&link).await,
-            Reason::ServerReset => reset(&client.stream),
+            Reason::ServerReset => reset(&client.link.stream),
             _ => {
                 drop(link);
-                close(client).await;
+                client.place.spoke();
+                close(&client.link).or(client.place.must_go()).await;
             }
         }
         reason
@@ -470,24 +522,30 @@
     }
 }
 
-/// Resolves, to nothing, when the client of a session that waits has left.
-async fn gone<T>(client: &mut Link) -> Option<T> {
+/// Resolves when the client of a session that waits has left, or has said more before its answer; one whose
+/// packets came another way before may.
+async fn stirs<T>(client: &mut Client, may_speak: bool) -> Result<T, Reason> {
     loop {
-        if client.inbox.is_full() {
+        let link = &mut client.link;
+        if !link.inbox.bytes().is_empty() && !may_speak {
+            return Err(Reason::BadLine);
+        }
+        if link.inbox.is_full() {
             return future::pending().await;
         }
-        match read(&client.stream, &mut client.inbox).await {
-            Ok(0) | Err(_) => return None,
+        match read(&link.stream, &mut link.inbox).await {
+            Ok(0) | Err(_) => return Err(Reason::ClientLeft),
             Ok(_) => {}
         }
     }
 }
 
 /// The final answer, and the end of the connection.
-async fn answer(client: &Link, line: &str) {
-    let mut stream = &client.stream;
+async fn answer(client: &Client, line: &str) {
+    client.place.spoke();
+    let mut stream = &client.link.stream;
     if within(STUCK, stream.write_all(line.as_bytes())).await.is_ok() {
-        close(client).await;
+        close(&client.link).or(client.place.must_go()).await;
     }
 }
 
@@ -497,13 +555,18 @@
         return;
     }
     let rest = async {
-        let mut inbox = Inbox::default();
-        while read(&link.stream, &mut inbox).await? > 0 {
-            inbox.consume(inbox.bytes().len());
+        while within(LINGER, link.stream.read_with(swallow)).await? > 0 {
+            // Who sends at full speed is not to keep the others waiting.
+            future::yield_now().await;
         }
         Ok(())
     };
-    let _ = within(LINGER, rest).await;
+    let _ = within(DRAIN, rest).await;
+}
+
+/// Reads once, for nothing.
+fn swallow(mut stream: &TcpStream) -> std::io::Result<usize> {
+    stream.read(&mut [0; GULP])
 }
 
 /// Ends a connection as one that broke.
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod probes;
 pub mod proxy;
 pub mod reload;
+pub mod room;
 pub mod servers;
--- a/crates/larklink-proxy/src/lines.rs
+++ b/crates/larklink-proxy/src/lines.rs
@@ -5,6 +5,8 @@
 
 /// The longest line, its CRLF included.
 pub const LONGEST: usize = 4096;
+/// The longest that a client may say it waits, in milliseconds: an hour is no dial timeout.
+const LONGEST_WAIT: u64 = 3_600_000;
 
 /// Bytes read and not yet passed on.
 #[derive(Default)]
@@ -55,6 +57,7 @@
 /// The first line of a session.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head<'a> {
+    pub id: u64,
     pub key: u64,
     pub listener: &'a str,
     /// How long the client waits, in milliseconds, and where the line says so.
@@ -80,22 +83,28 @@
     if words.next() != Some("OPEN") {
         return Err("not an OPEN line");
     }
-    if words.next().is_none_or(str::is_empty) {
-        return Err("no id");
+    if text.contains(char::is_control) {
+        return Err("control characters in it");
     }
+    let id = words.next().and_then(hex).ok_or("the id is not a hex number")?;
     let key = words.next().and_then(hex).ok_or("the key is not a hex number")?;
     let list = words.next().ok_or("no list of names and values")?;
     let (mut listener, mut wait) = (None, None);
-    let mut head = Head { key, ..Head::default() };
+    let mut head = Head { id, key, ..Head::default() };
+    let mut names = Vec::new();
     let mut from = text.len() - list.len();
     for pair in list.split(',') {
         let end = from + pair.len();
         let (name, value) = pair.split_once('=').ok_or("a name without a value")?;
+        names.push(name);
         match name {
             "c" => listener = Some(value),
             "d" => {
                 let digits = value.bytes().all(|b| b.is_ascii_digit());
                 let ms = digits.then(|| value.parse().ok()).flatten().ok_or("d is not a number")?;
+                if ms > LONGEST_WAIT {
+                    return Err("d is too long");
+                }
                 wait = Some((ms, end - value.len()..end));
             }
             "g" => head.group = hex(value).ok_or("g is not a hex number")?,
@@ -108,6 +117,10 @@
         }
         from = end + 1;
     }
+    names.sort_unstable();
+    if names.windows(2).any(|n| n[0] == n[1]) {
+        return Err("a name that stands twice");
+    }
     head.listener = listener.ok_or("no listener")?;
     (head.wait_ms, head.wait_at) = wait.ok_or("no dial timeout")?;
     Ok(head)
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -1,5 +1,5 @@
 //! Puts a proxy together: takes connections in, and stops in good order.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -7,7 +7,7 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::decisions::{self, Owner};
 use crate::discovery;
+use crate::room::Room;
 
 /// Descriptors kept for the listener, discovery, logs and the event loop: so many, two for each server's
 /// probes, and at most that part of all.
@@ -64,13 +65,21 @@
         last: STILL_COMING + span(facts.longest).min(LONGEST),
         stopped: Cell::new(None),
         next: Cell::new(0),
-        room: Cell::new(sockets - reserved.min(sockets / RESERVED_PART)),
+        room: Room::new(sockets - reserved.min(sockets / RESERVED_PART)),
+        open: RefCell::default(),
     });
     let accept = async {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    executor.spawn(clients::serve(Rc::clone(&front), stream)).detach();
+                    match front.room.enter() {
+                        Some(place) => {
+                            executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach();
+                        }
+                        None => clients::turn_away(&stream),
+                    }
+                    // Who gives way is to have closed before the next one comes.
+                    future::yield_now().await;
                 }
                 Err(e) => {
                     tracing::warn!("accept: {e}");
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -50,6 +50,11 @@
         "OPEN 1 2 c=a,d=99999999999999999999999",
         "OPEN 1 2 c=a,d=1,g=no",
         "OPEN 1 2 c=a,,d=1",
+        "OPEN 1 2 c=a,d=3600001",
+        "OPEN 1 2 c=a,d=1,d=2",
+        "OPEN 1 2 c=a,d=1,x=3,x=3",
+        "OPEN 1 2 c=a,d=1\nOPEN 3 4 c=a,d=1",
+        "OPEN id 2 c=a,d=1",
         "open 1 2 c=a,d=1",
     ] {
         assert!(head(line.as_bytes()).is_err(), "{line}");
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -142,11 +143,18 @@
     start(servers, nobody(), "proxy", 1024)
 }
 
+/// A first line with an id of its own, as each connection has.
+fn open(rest: &str) -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("OPEN {:x} 2 {rest}\r\n", NEXT.fetch_add(1, Relaxed))
+}
+
 /// A client whose session stands at a server, both ends of it.
 fn standing(proxy: SocketAddr, listener: &TcpListener) -> (Peer, Peer) {
-    let mut client = Peer::connect(proxy, "OPEN 1 2 c=chat,t=acme,d=2000,g=3\r\n");
+    let head = open("c=chat,t=acme,d=2000,g=3");
+    let mut client = Peer::connect(proxy, &head);
     let mut server = Peer::accept(listener);
-    assert!(server.hear().starts_with("OPEN 1 2 "));
+    assert_eq!(server.hear().split(' ').nth(1), head.split(' ').nth(1));
     server.say("UP 77\r\n");
     assert_eq!(client.hear(), "UP 77\r\n");
     (client, server)
@@ -196,7 +204,7 @@
     let proxy = quiet(&[nobody(), at]);
     for session in ["c=chat", "c=pay"] {
         for n in 0..8 {
-            let mut client = Peer::connect(proxy.address, &format!("OPEN 1 {n} {session},d=2000\r\n"));
+            let mut client = Peer::connect(proxy.address, &open(&format!("{session},d=2000,g={n}")));
             let mut server = Peer::accept(&listener);
             server.hear();
             // It ends well: a server that breaks off would be doubted in the next round, by chance.
@@ -212,7 +220,7 @@
 fn a_once_only_session_that_may_have_run_is_torn_down_not_refused() {
     let (listener, at) = server();
     let proxy = quiet(&[at, at]);
-    let ask = |class| Peer::connect(proxy.address, &format!("OPEN 1 2 c={class},d=2000\r\n"));
+    let ask = |class| Peer::connect(proxy.address, &open(&format!("c={class},d=2000")));
     let mut client = ask("pay");
     let mut server = Peer::accept(&listener);
     server.hear();
@@ -235,7 +243,7 @@
     client.ends();
     let listener = turn.join().unwrap();
     // And one whose time runs out is answered then.
-    let mut client = Peer::connect(proxy.address, "OPEN 1 2 c=pay,d=50\r\n");
+    let mut client = Peer::connect(proxy.address, &open("c=pay,d=50"));
     let mut server = Peer::accept(&listener);
     server.hear();
     assert_eq!(client.hear(), "ERR\r\n");
@@ -246,7 +254,7 @@
 fn a_client_that_leaves_while_it_waits_is_noticed() {
     let (listener, at) = server();
     let proxy = quiet(&[at]);
-    let client = Peer::connect(proxy.address, "OPEN 1 2 c=chat,d=9000\r\n");
+    let client = Peer::connect(proxy.address, &open("c=chat,d=9000"));
     let mut server = Peer::accept(&listener);
     server.hear();
     drop(client);
@@ -264,7 +272,7 @@
     }
     let mut client = Peer::connect(proxy.address, "PING\r\nPING\r\n");
     assert_eq!((client.hear(), client.hear()), ("PONG\r\n".into(), "PONG\r\n".into()));
-    client.say("OPEN 1 2 c=chat,d=2000\r\n");
+    client.say(&open("c=chat,d=2000"));
     assert!(client.hear().starts_with("BUSY"), "no server, no session");
 }
 
@@ -278,12 +286,85 @@
     drop(held);
 }
 
+/// Servers fail it wherever it is sent, and that looked like trouble of the session store.
+#[test]
+fn the_id_of_a_session_that_is_open_is_not_taken_twice() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let head = open("c=chat,d=2000");
+    let mut client = Peer::connect(proxy.address, &head);
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    server.say("UP 1\r\n");
+    assert_eq!(client.hear(), "UP 1\r\n");
+    let mut other = Peer::connect(proxy.address, &head.replace(" 2 ", " 3 "));
+    assert_eq!(other.hear(), "ERR\r\n");
+    client.say("still here\r\n");
+    assert_eq!(server.hear(), "still here\r\n");
+}
+
+#[test]
+fn who_does_not_wait_for_the_answer_is_failed() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let mut client = Peer::connect(proxy.address, &open("c=chat,d=2000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    client.say("too early\r\n");
+    assert_eq!(client.hear(), "ERR\r\n");
+    server.ends();
+}
+
+/// They were let wait for 5 s, and for 60 s after a probe; 3 s are owed.
+#[test]
+fn who_says_nothing_is_soon_let_go() {
+    let proxy = quiet(&[]);
+    let started = Instant::now();
+    let (mut silent, mut pinged) =
+        (Peer::connect(proxy.address, ""), Peer::connect(proxy.address, "PING\r\n"));
+    let mut half = Peer::connect(proxy.address, "OPEN 1 2 c=ch");
+    assert_eq!((silent.hear(), half.hear()), ("ERR\r\n".into(), "ERR\r\n".into()));
+    assert_eq!(pinged.hear(), "PONG\r\n");
+    [silent, half, pinged].iter_mut().for_each(Peer::ends);
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+/// Each took two descriptors, and real clients were refused.
+#[test]
+fn who_has_never_spoken_gives_way_to_sessions() {
+    let (listener, at) = server();
+    let proxy = start(&[at], nobody(), "proxy", 8);
+    let mut pinged = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(pinged.hear(), "PONG\r\n");
+    // With six descriptors for clients and their servers, three more than there are.
+    let mut silent: Vec<_> = (0..8).map(|_| Peer::connect(proxy.address, "")).collect();
+    for mut gone in silent.drain(..3) {
+        assert_eq!(gone.hear(), "BUSY\r\n");
+    }
+    let _held: Vec<_> = (0..2).map(|_| standing(proxy.address, &listener)).collect();
+    for mut gone in silent.drain(..4) {
+        assert_eq!(gone.hear(), "BUSY\r\n");
+    }
+    pinged.say("PING\r\n");
+    assert_eq!(pinged.hear(), "PONG\r\n");
+}
+
+#[test]
+fn who_sends_sixty_megabytes_hears_the_error_all_the_same() {
+    let proxy = quiet(&[]);
+    let mut client = Peer::connect(proxy.address, "OPEN 1 2 c=chat,d=2000,x=");
+    let chunk = "y".repeat(1 << 20);
+    (0..60).for_each(|_| client.say(&chunk));
+    assert_eq!(client.hear(), "ERR\r\n");
+    client.ends();
+}
+
 #[test]
 fn a_connection_of_before_goes_to_the_server_that_held_it() {
     let ((first, a), (second, b)) = (server(), server());
     let proxy = quiet(&[a, b]);
     for (n, listener) in [(0, &first), (1, &second)] {
-        let head = format!("OPEN 1 2 c=chat,d=2000,at=s-{n}\r\n");
+        let head = open(&format!("c=chat,d=2000,at=s-{n}"));
         let mut client = Peer::connect(proxy.address, &head);
         let mut server = Peer::accept(listener);
         assert_eq!(server.hear(), head);
@@ -331,7 +412,7 @@
     let proxy = quiet(&[at]);
     let (mut client, mut server) = standing(proxy.address, &listener);
     drop(proxy.stop);
-    let mut late = Peer::connect(proxy.address, "OPEN 1 2 c=chat,d=2000\r\n");
+    let mut late = Peer::connect(proxy.address, &open("c=chat,d=2000"));
     let mut to = Peer::accept(&listener);
     to.hear();
     to.say("UP 9\r\n");
