A connection that brings nothing back for 1.5 s is given up, in place of 5.5 s

Traced: the last line back at 12.79 s, the first without one sent at 14.79, MOVE at 20.29; lost counts at 19.83, 7.04 s after the last that came. Fault: SILENCE in clients.rs was 5.5 s from the first line without an answer, though a line comes every 2 s.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -33,8 +33,9 @@
 const GULP: usize = 64 << 10;
 /// A client that is to move gets the line within this time, or is cut off.
 const STUCK: Duration = Duration::from_secs(1);
-/// A server that has brought nothing back for this long is silent.
-const SILENCE: Duration = Duration::from_millis(5500);
+/// A connection on which a line has brought nothing back for this long is silent: a sound one brings one back at
+/// once. The 7 s that are allowed count from the last that came, seconds before the line that shows it.
+const SILENCE: Duration = Duration::from_millis(1500);
 /// A connection from before the start is tried again after so long, up to so long.
 const STAND_AGAIN: Duration = Duration::from_millis(250);
 const STAND: Duration = Duration::from_secs(40);
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -315,6 +315,20 @@
     server.ends();
 }
 
+/// It was held for 5.5 s from its first line without one back, over 7 s after the last that had come.
+#[test]
+fn who_hears_nothing_more_from_its_server_is_soon_moved() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let (mut client, mut server) = standing(proxy.address, &listener);
+    let started = Instant::now();
+    client.say("one\r\n");
+    assert_eq!(server.hear(), "one\r\n");
+    assert_eq!(client.hear(), "MOVE\r\n");
+    client.ends();
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
 /// They were let wait for 5 s, and for 60 s after a probe; 3 s are owed.
 #[test]
 fn who_says_nothing_is_soon_let_go() {
