--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -3,7 +3,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,12 +41,9 @@
 const STAND: Duration = Duration::from_secs(40);
 /// Lines on their way to a server and back that are timed.
 const TIMED: usize = 8;
-/// At a stop, clients are moved within these shares of the time that is left, spread by chance so that they do
+/// At a stop, clients are moved within this share of the time that is left, spread by chance so that they do
 /// not come again all at once.
-const MOVED: Range<f64> = 0.0..0.7;
-/// Where packets pass through nobody is moved, and the end of the proxy breaks what it holds. Late in the time
-/// that is left connections end one by one instead, for the same reason; most are served for all of it.
-const BROKEN: Range<f64> = 0.5..0.95;
+const MOVED_BY: f64 = 0.7;
 
 /// What all clients' tasks share.
 pub struct Front {
@@ -476,17 +472,16 @@
             future::pending().await
         };
         let stop = async {
+            if self.front.passes {
+                return future::pending().await;
+            }
             let _ = self.front.stop.recv().await;
             let left = self.front.until().saturating_duration_since(Instant::now());
-            let span = if self.front.passes { BROKEN } else { MOVED };
-            let share = self.front.chance.borrow_mut().random_range(span);
+            let share = self.front.chance.borrow_mut().random_range(0.0..MOVED_BY);
             Timer::after(left.mul_f64(share)).await;
             Reason::Stopped
         };
         let reason = order.or(stop).await;
-        if reason == Reason::Stopped && self.front.passes {
-            return (reason, None);
-        }
         (self.send_away(reason).await, None)
     }
 
