--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -185,10 +185,8 @@
 
 /// Weighted rendezvous: a server's claim on a bucket is -weight / ln(hash of bucket and id as a share of 1).
 fn claim(bucket: u64, id: u32, weight: f64) -> f64 {
-    let mut key = [0; 12];
-    key[..8].copy_from_slice(&bucket.to_le_bytes());
-    key[8..].copy_from_slice(&id.to_le_bytes());
-    let share = ((xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    let key = (u128::from(bucket) | u128::from(id) << 64).to_le_bytes();
+    let share = ((xxh3_64(&key[..12]) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     -weight / share.ln()
 }
 
@@ -426,10 +424,9 @@
             s.forget(FORGET * round as f64 / NOTE as f64);
             s.cap *= 1.0 + REGROW * round as f64 / NOTE as f64;
             let (held, quiet, probed) = (u64::from(s.held.max(1)), round * QUIET, s.probed.unwrap_or(0));
+            let often = (quiet as f64 / s.load.max(held as f64)) as Time;
             let (last, wait) = match (s.misses, self.set.tells_load) {
-                (0, true) => {
-                    (probed, ((quiet as f64 / s.load.max(held as f64)) as Time).max(round * DOUBTED))
-                }
+                (0, true) => (probed, often.max(round * DOUBTED)),
                 (0, false) => (s.heard.max(probed), quiet / held.isqrt()),
                 _ => (s.heard.max(probed), round * DOUBTED),
             };
