Sessions that stood at a server before it failed no longer speak for it

Traced: each load note of the 40 sessions that stand there calls served(), which halves its failures, so that every new session goes to it again. Fault: noted() and served() in balancer.rs. Ruled out: probes (they are answered in 8 ms), the proxy's own delay (0.4 ms).

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -73,8 +73,9 @@
     /// The posterior of its chance of success: successes and failures, the prior included.
     good: f64,
     bad: f64,
-    /// Failures since its last sign of life.
+    /// Failures since its last sign of life, and when the latest of all was.
     misses: u32,
+    failed: Time,
     heard: Time,
     probed: Option<Time>,
     /// The latest probe to it is out.
@@ -103,8 +104,7 @@
         self.entry.state == State::Ready
     }
 
-    /// A sign of life. It shows that the process answers, not that it serves: a server that takes connections
-    /// and drops them again would draw all who come again.
+    /// A sign of life: the process answers. It may take connections and drop them, so this is no success.
     fn heard(&mut self, now: Time) {
         self.forget(if self.misses > 0 { 0.5 } else { 0.0 });
         if self.misses >= SILENT {
@@ -113,10 +113,12 @@
         (self.heard, self.misses) = (now, 0);
     }
 
-    fn served(&mut self, now: Time) {
+    /// It serves a session dialled at `since`; who stood there before it failed tells nothing of new ones.
+    fn served(&mut self, now: Time, since: Time) {
         self.heard(now);
-        self.good = (self.good + 1.0).min(TRUSTED);
-        self.forget(0.5);
+        let tells = f64::from(u8::from(since >= self.failed));
+        self.good = (self.good + tells).min(TRUSTED);
+        self.forget(tells / 2.0);
     }
 
     /// Drops a share of its failures, down to the prior.
@@ -127,13 +129,14 @@
     /// What the end of a dial, a connection or a probe says of it.
     fn ended(&mut self, now: Time, how: How, probe: bool) {
         match how {
-            How::Accepted if !probe => return self.served(now),
+            How::Accepted if !probe => return self.served(now, now),
             How::Accepted | How::Full => return self.heard(now),
             How::Unmade | How::Broken => self.misses += 1,
             How::Late if probe => self.misses += 1,
             How::Late | How::Error if !probe => {}
             _ => return,
         }
+        self.failed = now;
         (self.good, self.bad) = (1.0 + (self.good - 1.0) / 2.0, (self.bad + 1.0).min(TRUSTED));
     }
 
@@ -326,7 +329,7 @@
 
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
-        let Some(sess) = self.sessions.try_remove(ix) else { return };
+        let sess = self.sessions.try_remove(ix).unwrap_or_default();
         if matches!(sess.phase, Phase::Dials | Phase::Stands) {
             self.let_go(sess.server, sess.load, sess.phase);
         }
@@ -356,7 +359,7 @@
             row.load += (sess.load - row.load) / MEMORY.sqrt();
         }
         let (change, half) = (sess.load - before, self.set.message_target / 2);
-        s.served(now);
+        s.served(now, sess.sent);
         s.load = (s.load + change).max(0.0);
         if let Note::Delay(delay) = note {
             // More for each doubling of what a message takes: what is piled up has to be worked off too.
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -545,6 +545,30 @@
     dialled(b.place(3 * SECOND, ask(5, 0)).1);
 }
 
+/// Set-ups of one listener hung at a server; whoever stood there spoke well of it, and each new one hung too.
+#[test]
+fn who_stood_at_a_server_before_its_set_ups_hang_does_not_speak_for_it() {
+    let mut taken = 0;
+    for seed in 0..50 {
+        let mut b = Balancer::new(settings(), seed, 0);
+        b.heard_list(0, Scope::Cached, &[entry(0, State::Ready, 0), entry(1, State::Ready, 0)]);
+        let mut stands = Vec::new();
+        for key in 1..9 {
+            let (ix, verdict) = b.place(0, ask(key, 0));
+            b.stood(10, ix);
+            stands.push((ix, dialled(verdict)));
+        }
+        let (hangs, bad) = b.place(SECOND, ask(99, 0));
+        let bad = dialled(bad);
+        b.settled(3 * SECOND, hangs, How::Late, true);
+        for (ix, _) in stands.iter().filter(|(_, server)| *server == bad).cycle().take(20) {
+            b.noted(3 * SECOND, *ix, Note::Load(1.0));
+        }
+        taken += u32::from(dialled(b.place(3 * SECOND, ask(99, 0)).1) == bad);
+    }
+    assert!((10..40).contains(&taken), "{taken} of 50 go there again");
+}
+
 #[test]
 fn a_session_that_has_grown_heavy_goes_before_many_light_ones() {
     let mut b = fleet(Settings { tells_load: true, ..settings() }, 2);
