--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -73,9 +73,9 @@
     /// The posterior of its chance of success: successes and failures, the prior included.
     good: f64,
     bad: f64,
-    /// Failures since its last sign of life, and when the latest of all was.
+    /// Failures since its last sign of life, and when a set-up last hung.
     misses: u32,
-    failed: Time,
+    hung: Time,
     heard: Time,
     probed: Option<Time>,
     /// The latest probe to it is out.
@@ -113,10 +113,10 @@
         (self.heard, self.misses) = (now, 0);
     }
 
-    /// It serves a session dialled at `since`; who stood there before it failed tells nothing of new ones.
+    /// It serves a session dialled at `since`; who stood there before set-ups hung tells nothing of new ones.
     fn served(&mut self, now: Time, since: Time) {
         self.heard(now);
-        let tells = f64::from(u8::from(since >= self.failed));
+        let tells = f64::from(u8::from(since >= self.hung));
         self.good = (self.good + tells).min(TRUSTED);
         self.forget(tells / 2.0);
     }
@@ -133,10 +133,10 @@
             How::Accepted | How::Full => return self.heard(now),
             How::Unmade | How::Broken => self.misses += 1,
             How::Late if probe => self.misses += 1,
-            How::Late | How::Error if !probe => {}
+            How::Late => self.hung = now,
+            How::Error if !probe => {}
             _ => return,
         }
-        self.failed = now;
         (self.good, self.bad) = (1.0 + (self.good - 1.0) / 2.0, (self.bad + 1.0).min(TRUSTED));
     }
 
