Told room opens a cap by two sessions at least

Seen: after its restart on reload a proxy refused some 200 sessions in 2.5 s while the servers told loads of 0.3 to 0.5. Fault: probed() opened a cap in proportion to the proxy's own load there, which is next to nothing just after a start. Ruled out: the list (whole at once), the cold budget (starts long ago).

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -379,8 +379,8 @@
                 s.crowded = s.crowded.max(now + NOTE * 3 / 2);
                 s.cap = s.cap.min(s.load).max(LEAST);
             } else if tells {
-                // It bears as much more from each of us.
-                s.cap = s.cap.max((s.load + LEAST) * FULL / load);
+                // It bears as much more from each of us, who may have had little there so far.
+                s.cap = s.cap.max((s.load + 2.0) * FULL / load);
             }
             // Lines come back at once even where no message is answered in time: only the load tells.
             s.excess = s.excess.max(1.0 - BRIM / load);
