Mid-flow sessions are dialled whatever the window on set-ups

Seen: on reload (traced) six clients that came mid-flow to a proxy just back were refused at 0 ms, and so cut off from the server that held them. Fault: next() in balancer.rs held every dial to the window that errors of the session store had closed; one that goes on at its server asks the store for nothing. Ruled out: the lookup (with the window open the owner is dialled), the caps (not asked there).

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -260,10 +260,8 @@
             s.told = if s.ready() { None } else { s.told.or(Some(now)) };
         }
         self.table.clear();
-        if scope != Scope::Cached {
-            // Any answer shows that the subscription stands; its break will be told.
-            self.next_ask = Time::MAX;
-        }
+        // Any answer shows that the subscription stands; its break will be told.
+        self.next_ask = if scope == Scope::Cached { self.next_ask } else { Time::MAX };
     }
 
     /// A call for the list failed, or the subscription broke: ask again, after a wait drawn by chance so that
@@ -535,9 +533,11 @@
         let left = sess.until.saturating_sub(now);
         let Listener { handshake_target: target, kind } = self.rows[sess.ask.listener].listener;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
-        let fits = fits && sess.dials < self.set.max_dials && self.out < self.window;
+        let fits = fits && sess.dials < self.set.max_dials;
+        // Mid-flow it goes on at its server, which asks the store for nothing.
+        let goes_on = sess.ask.mid_flow && sess.dials == 0;
         if fits
-            && self.paced(self.window) > 0.0
+            && (goes_on || self.out < self.window && self.paced(self.window) > 0.0)
             && let Some(server) = self.choose(now, &sess)
         {
             if self.unknown(now, &sess, server) {
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -646,6 +646,8 @@
         assert_eq!(b.settled(100, *ix, How::Error, false), Some(Verdict::TearDown));
     }
     assert!(!matches!(b.place(100, ask(99, 1)).1, Verdict::Dial { .. }));
+    // One that goes on at its server needs no set-up; it was refused after a restart, and so cut off.
+    dialled(b.place(100, Session { mid_flow: true, ..ask(99, 1) }).1);
 }
 
 #[test]
