--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -115,7 +115,7 @@
             give_way.await;
             None
         };
-        let first = async { Some(self.first_line(client).await) };
+        let first = async { Some(first_line(client).await) };
         let line = match first.or(give_way).await {
             Some(Ok(line)) => line,
             Some(Err(reason)) => {
@@ -157,35 +157,6 @@
         }
     }
 
-    /// Answers probes until there is another line; or says how it ended.
-    async fn first_line(&self, client: &mut Client) -> Result<Vec<u8>, Reason> {
-        let mut pinged = false;
-        loop {
-            let step = async {
-                let n = client.link.line().await?;
-                let line = client.link.inbox.bytes()[..n].to_vec();
-                client.link.inbox.consume(n);
-                client.place.spoke();
-                if line == b"PING\r\n" {
-                    client.link.stream.write_all(b"PONG\r\n").await?;
-                }
-                Ok(line)
-            };
-            match within(HEAD, step).await {
-                Ok(line) if line == b"PING\r\n" => pinged = true,
-                Ok(line) => return Ok(line),
-                Err(e) => {
-                    return Err(match e.kind() {
-                        ErrorKind::InvalidData => Reason::BadLine,
-                        _ if pinged => Reason::Pinged,
-                        ErrorKind::TimedOut => Reason::HeadStalled,
-                        _ => Reason::ClientLeft,
-                    });
-                }
-            }
-        }
-    }
-
     async fn session(
         &self,
         session: u32,
@@ -523,6 +494,36 @@
     }
 }
 
+/// Answers probes until there is another line; or says how it ended.
+async fn first_line(client: &mut Client) -> Result<Vec<u8>, Reason> {
+    let mut pinged = false;
+    loop {
+        let step = async {
+            let n = client.link.line().await?;
+            let line = client.link.inbox.bytes()[..n].to_vec();
+            client.link.inbox.consume(n);
+            client.place.spoke();
+            if line != b"PING\r\n" {
+                return Ok(Some(line));
+            }
+            client.link.stream.write_all(b"PONG\r\n").await?;
+            Ok(None)
+        };
+        match within(HEAD, step).await {
+            Ok(Some(line)) => return Ok(line),
+            Ok(None) => pinged = true,
+            Err(e) => {
+                return Err(match e.kind() {
+                    ErrorKind::InvalidData => Reason::BadLine,
+                    _ if pinged => Reason::Pinged,
+                    ErrorKind::TimedOut => Reason::HeadStalled,
+                    _ => Reason::ClientLeft,
+                });
+            }
+        }
+    }
+}
+
 /// Resolves when the client of a session that waits has left, or has said more before its answer; one whose
 /// packets came another way before may.
 async fn stirs<T>(client: &mut Client, may_speak: bool) -> Result<T, Reason> {
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -151,8 +151,11 @@
 
 /// A client whose session stands at a server, both ends of it.
 fn standing(proxy: SocketAddr, listener: &TcpListener) -> (Peer, Peer) {
-    let head = open("c=chat,t=acme,d=2000,g=3");
-    let mut client = Peer::connect(proxy, &head);
+    standing_by(&open("c=chat,t=acme,d=2000,g=3"), proxy, listener)
+}
+
+fn standing_by(head: &str, proxy: SocketAddr, listener: &TcpListener) -> (Peer, Peer) {
+    let mut client = Peer::connect(proxy, head);
     let mut server = Peer::accept(listener);
     assert_eq!(server.hear().split(' ').nth(1), head.split(' ').nth(1));
     server.say("UP 77\r\n");
@@ -292,11 +295,7 @@
     let (listener, at) = server();
     let proxy = quiet(&[at]);
     let head = open("c=chat,d=2000");
-    let mut client = Peer::connect(proxy.address, &head);
-    let mut server = Peer::accept(&listener);
-    server.hear();
-    server.say("UP 1\r\n");
-    assert_eq!(client.hear(), "UP 1\r\n");
+    let (mut client, mut server) = standing_by(&head, proxy.address, &listener);
     let mut other = Peer::connect(proxy.address, &head.replace(" 2 ", " 3 "));
     assert_eq!(other.hear(), "ERR\r\n");
     client.say("still here\r\n");
