A slow client is no evidence against its server; events and list untie the daemon's files

Need: 300 clients that never read made the daemon log both their servers as silent and move some 250 sessions. Cause: while a write to a slow client waits, its server is not read, so overdue() in clients.rs counted lines as unanswered and told Note::Unanswered of a server that answers; the echo's time was taken as the server's delay too. Change: the time a client keeps us counts for neither; a client that takes nothing for 1.5 s while a line of its waits is let go as client_stuck. A loopback test floods eight such clients at one server, whose healthy session goes on; without the change it never ends. events.rs and list.rs hold what decisions, discovery and probes needed of each other. The toy server writes a line in one go with TCP_NODELAY (each echo took 44 ms); the daemon's side towards clients had it.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -15,9 +15,9 @@
 use socket2::SockRef;
 
 use crate::clock::{span, tenths};
-use crate::decisions::{Event, Order, Queue};
-use crate::discovery::server_id;
+use crate::events::{Event, Order, Queue};
 use crate::lines::{Head, Inbox, Word, head, with_wait, word};
+use crate::list::server_id;
 use crate::log::Reason;
 use crate::room::{Place, Room};
 use crate::servers::{Link, dial, read, within};
@@ -36,6 +36,8 @@
 /// A connection on which a line has brought nothing back for this long is silent: a sound one brings one back at
 /// once. The 7 s that are allowed count from the last that came, seconds before the line that shows it.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// A write that takes longer than this waits for its client.
+const KEPT: Duration = Duration::from_millis(1);
 /// A connection from before the start is tried again after so long, up to so long.
 const STAND_AGAIN: Duration = Duration::from_millis(250);
 const STAND: Duration = Duration::from_secs(40);
@@ -290,7 +292,8 @@
             server,
             to_client: &client.link.stream,
             to_server: &link.stream,
-            writing: Cell::new(false),
+            writing: Cell::default(),
+            kept: Cell::default(),
             sent: RefCell::default(),
             told: Cell::default(),
         };
@@ -326,8 +329,10 @@
     server: u32,
     to_client: &'a Async<TcpStream>,
     to_server: &'a Async<TcpStream>,
-    /// Lines are on their way to the client.
-    writing: Cell<bool>,
+    /// Lines are on their way to the client, which last took some, or was first sent them, then.
+    writing: Cell<Option<Instant>>,
+    /// Until when it kept us from reading its server.
+    kept: Cell<Option<Instant>>,
     /// When the lines were sent that have brought nothing back yet.
     sent: RefCell<VecDeque<Instant>>,
     /// The latest of those that the decisions were told of.
@@ -403,11 +408,19 @@
         }
     }
 
-    async fn pass(&self, bytes: &[u8]) -> std::io::Result<()> {
-        self.writing.set(true);
+    async fn pass(&self, mut bytes: &[u8]) -> std::io::Result<()> {
         let mut to_client = self.to_client;
-        to_client.write_all(bytes).await?;
-        self.writing.set(false);
+        while !bytes.is_empty() {
+            let started = Instant::now();
+            self.writing.set(Some(started));
+            let n = to_client.write(bytes).await?;
+            bytes = &bytes[n..];
+            let done = Instant::now();
+            if done - started > KEPT {
+                self.kept.set(Some(done));
+            }
+        }
+        self.writing.set(None);
         Ok(())
     }
 
@@ -423,7 +436,8 @@
             }
             _ => {
                 let sent = self.sent.borrow_mut().pop_front();
-                if let Some(sent) = sent {
+                // What came while a slow client kept us from reading tells nothing of the server.
+                if let Some(sent) = sent.filter(|&at| self.kept.get().is_none_or(|until| until < at)) {
                     let took = tenths(now.saturating_duration_since(sent));
                     self.front.queue.send(Event::Echo { session, dial, server, took }).await;
                 }
@@ -456,19 +470,27 @@
         (self.send_away(reason).await, None)
     }
 
-    /// A server that takes lines and brings nothing back is told of, and in the end keeps nobody.
+    /// A server that takes lines and brings nothing back is told of, and in the end keeps nobody. While the
+    /// client keeps us from reading, its server is not to blame: the time counts from when it took the last.
     async fn overdue(&self) -> End {
         let oldest = || self.sent.borrow().front().copied();
-        let (session, dial) = (self.session, self.dial);
+        let (session, dial, doubt) = (self.session, self.dial, self.front.connect_timeout);
         while let Some(at) = oldest() {
-            Timer::at(at + self.front.connect_timeout).await;
-            if oldest() == Some(at) {
-                if self.told.replace(Some(at)) != Some(at) {
-                    self.front.queue.send(Event::Noted { session, dial, note: Note::Unanswered }).await;
+            if let Some(since) = self.writing.get() {
+                if since.elapsed() >= SILENCE {
+                    return (Reason::ClientStuck, None);
                 }
-                Timer::at(at + SILENCE).await;
+                Timer::at((since + SILENCE).min(Instant::now() + doubt)).await;
+                continue;
             }
-            if oldest() == Some(at) {
+            let from = self.kept.get().map_or(at, |until| until.max(at));
+            if from.elapsed() < doubt {
+                Timer::at(from + doubt).await;
+            } else if self.told.replace(Some(at)) != Some(at) {
+                self.front.queue.send(Event::Noted { session, dial, note: Note::Unanswered }).await;
+            } else if from.elapsed() < SILENCE {
+                Timer::at(from + SILENCE).await;
+            } else {
                 let reason = self.send_away(Reason::Silent).await;
                 return (reason, (reason == Reason::Silent).then_some(How::Broken));
             }
@@ -479,13 +501,13 @@
 
     async fn send_away(&self, reason: Reason) -> Reason {
         let started = Instant::now();
-        while self.writing.get() {
+        while self.writing.get().is_some() {
             if started.elapsed() >= STUCK {
                 return Reason::ClientStuck;
             }
             Timer::after(STUCK / 100).await;
         }
-        self.writing.set(true);
+        self.writing.set(Some(started));
         let mut to_client = self.to_client;
         match within(STUCK, to_client.write_all(b"MOVE\r\n")).await {
             Ok(()) => reason,
--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -5,8 +5,8 @@
 use larklink_core::settings::Facts;
 use serde::{Deserialize, Deserializer, de::Error};
 
-use crate::discovery::List;
 use crate::lines;
+use crate::list::List;
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -13,90 +13,10 @@
 
 use crate::clock::{Clock, span};
 use crate::delays::Delays;
-use crate::discovery::{Endpoint, server_id};
+use crate::events::{Event, Order, Queue, WAITING};
+use crate::list::{Endpoint, server_id};
 use crate::probes::Probes;
 
-/// Events that may wait before those who send them have to.
-const WAITING: usize = 1024;
-
-#[derive(Debug)]
-pub enum Event {
-    Open {
-        session: u32,
-        ask: Session,
-        orders: Sender<Order>,
-    },
-    /// Asks for the address of the server that a standing connection was at.
-    Stands {
-        session: u32,
-        server: u32,
-        orders: Sender<Order>,
-    },
-    /// It stands there again.
-    Adopt {
-        session: u32,
-        ask: Session,
-        server: u32,
-    },
-    Stood {
-        session: u32,
-        dial: u8,
-    },
-    Settled {
-        session: u32,
-        dial: u8,
-        how: How,
-        over: bool,
-    },
-    Left {
-        session: u32,
-    },
-    Noted {
-        session: u32,
-        dial: u8,
-        note: Note,
-    },
-    /// A client's line went to the server and one came back.
-    Echo {
-        session: u32,
-        dial: u8,
-        server: u32,
-        took: Time,
-    },
-    Probed {
-        server: u32,
-        how: How,
-        took: Time,
-        report: Vec<f64>,
-    },
-    List(Scope, Vec<Endpoint>),
-    ListFailed,
-}
-
-/// What a session's task is to do.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Order {
-    Dial { dial: u8, server: u32, address: Option<SocketAddr>, limit: Time },
-    Refuse { retry_after: Time },
-    TearDown,
-    Move,
-}
-
-#[derive(Clone)]
-pub struct Queue(Sender<Event>);
-
-impl Queue {
-    pub async fn send(&self, event: Event) {
-        // It only fails when the proxy is about to exit.
-        let _ = self.0.send(event).await;
-    }
-}
-
-pub fn queue() -> (Queue, Receiver<Event>) {
-    let (sender, receiver) = async_channel::bounded(WAITING);
-    (Queue(sender), receiver)
-}
-
 pub struct Owner {
     core: Core,
     clock: Clock,
--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -7,14 +7,13 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
-use larklink::types::{Entry, Scope, State, Time};
+use larklink::types::{Scope, Time};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use serde::Deserialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::span;
-use crate::decisions::{Event, Queue};
+use crate::events::{Event, Queue};
+use crate::list::List;
 use crate::servers::within;
 
 /// A watch waits for this share of the time after which who has not asked counts as told.
@@ -24,55 +23,6 @@
 const LONGEST_HEAD: usize = 16 << 10;
 const LONGEST_BODY: usize = 1 << 20;
 
-/// The list of servers as discovery writes it.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct List {
-    pub index: u64,
-    #[serde(default)]
-    pub snapshot: bool,
-    pub endpoints: Vec<Endpoint>,
-}
-
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Endpoint {
-    pub name: String,
-    pub address: String,
-    pub status: String,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub group: u16,
-    #[serde(default)]
-    pub weight: f64,
-    #[serde(default)]
-    pub since_ms: f64,
-}
-
-/// A server's id: by its name alone, so that all proxies agree on it whatever its address and place in the
-/// list.
-pub fn server_id(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
-impl Endpoint {
-    pub fn entry(&self, zones: &[String]) -> Entry {
-        Entry {
-            server: 0,
-            id: server_id(&self.name),
-            zone: zones.iter().position(|z| *z == self.zone).unwrap_or(zones.len()) as u16,
-            cell: self.group,
-            state: match self.status.as_str() {
-                "up" => State::Ready,
-                "removed" => State::Gone,
-                // A state that we do not know is treated with care.
-                _ => State::Draining,
-            },
-            weight: self.weight,
-            came_up: (self.since_ms * 10.0).round() as Time,
-        }
-    }
-}
-
 /// Follows the list for as long as the proxy runs, always at the latest address that it was given. With a new
 /// one the old watch ends and its index counts for nothing: another agent counts its lists by itself.
 pub async fn follow(
--- /dev/null
+++ b/crates/larklink-proxy/src/list.rs
@@ -0,0 +1,53 @@
+//! The list of servers in discovery's form, and an entry of it in the decisions' plain values. Pure.
+use larklink::types::{Entry, State, Time};
+use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The list of servers as discovery writes it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    pub index: u64,
+    #[serde(default)]
+    pub snapshot: bool,
+    pub endpoints: Vec<Endpoint>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Endpoint {
+    pub name: String,
+    pub address: String,
+    pub status: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub group: u16,
+    #[serde(default)]
+    pub weight: f64,
+    #[serde(default)]
+    pub since_ms: f64,
+}
+
+/// A server's id: by its name alone, so that all proxies agree on it whatever its address and place in the
+/// list.
+pub fn server_id(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
+impl Endpoint {
+    pub fn entry(&self, zones: &[String]) -> Entry {
+        Entry {
+            server: 0,
+            id: server_id(&self.name),
+            zone: zones.iter().position(|z| *z == self.zone).unwrap_or(zones.len()) as u16,
+            cell: self.group,
+            state: match self.status.as_str() {
+                "up" => State::Ready,
+                "removed" => State::Gone,
+                // A state that we do not know is treated with care.
+                _ => State::Draining,
+            },
+            weight: self.weight,
+            came_up: (self.since_ms * 10.0).round() as Time,
+        }
+    }
+}
--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -8,7 +8,7 @@
 use larklink::types::How;
 
 use crate::clock::tenths;
-use crate::decisions::{Event, Queue};
+use crate::events::{Event, Queue};
 use crate::lines::{Word, report, word};
 use crate::servers::{Link, connect, within, write_gathered};
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -14,8 +14,9 @@
 use crate::clients::{self, Front};
 use crate::clock::span;
 use crate::config::Config;
-use crate::decisions::{self, Owner};
+use crate::decisions::Owner;
 use crate::discovery;
+use crate::events;
 use crate::room::Room;
 
 /// Descriptors kept for the listener, discovery, logs and the event loop: so many, two for each server's
@@ -39,7 +40,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
     let listener = Async::new(listener)?;
-    let (queue, events) = decisions::queue();
+    let (queue, events) = events::queue();
     let facts = config.settings;
     let known = config.known.endpoints;
     let reserved = RESERVED + 2 * known.len();
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -3,8 +3,9 @@
 use larklink::types::State;
 use larklink_proxy::config::Config;
 use larklink_proxy::delays::Delays;
-use larklink_proxy::discovery::{Endpoint, answer, server_id};
+use larklink_proxy::discovery::answer;
 use larklink_proxy::lines::{Inbox, LONGEST, Word, head, report, with_wait, word};
+use larklink_proxy::list::{Endpoint, server_id};
 use proptest::prelude::*;
 use proptest::test_runner::{Config as Runs, RngSeed};
 
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -328,6 +328,47 @@
     assert!(started.elapsed() < Duration::from_secs(5));
 }
 
+/// Behind a client that took nothing the server was not read, so that it passed for silent: its other sessions
+/// were moved off it. A client's slowness is no evidence against its server.
+#[test]
+fn a_client_that_takes_nothing_is_let_go_and_its_server_is_not_blamed() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let (mut healthy, mut its_server) = standing(proxy.address, &listener);
+    let slow: Vec<_> = (0..8)
+        .map(|_| {
+            let (mut client, mut server) = standing(proxy.address, &listener);
+            client.say("much, please\r\n");
+            assert_eq!(server.hear(), "much, please\r\n");
+            let flood = thread::spawn(move || {
+                let line = format!("{}\r\n", "y".repeat(1000)).repeat(64);
+                // Until the proxy lets go: far more than all buffers between hold.
+                while server.0.get_mut().write_all(line.as_bytes()).is_ok() {}
+            });
+            // Lines that are answered behind all of that, if ever.
+            let mut asks = client.0.get_ref().try_clone().unwrap();
+            let asking = thread::spawn(move || {
+                while asks.write_all(b"more\r\n").is_ok() {
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+            (client, flood, asking)
+        })
+        .collect();
+    // Each of them was the server's second failure without a sign of life, and a move for this one.
+    for (client, flood, asking) in slow {
+        flood.join().unwrap();
+        drop(client);
+        asking.join().unwrap();
+    }
+    for line in ["one\r\n", "two\r\n"] {
+        healthy.say(line);
+        assert_eq!(its_server.hear(), line);
+        its_server.say(line);
+        assert_eq!(healthy.hear(), line);
+    }
+}
+
 /// They were let wait for 5 s, and for 60 s after a probe; 3 s are owed.
 #[test]
 fn who_says_nothing_is_soon_let_go() {
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -34,24 +34,26 @@
 }
 
 fn serve(stream: &TcpStream, held: &AtomicU32, name: &str) -> Result<()> {
+    // One write a line, sent at once: a second small write would wait for the receipt of the first.
+    stream.set_nodelay(true)?;
     let mut out = stream;
     let mut lines = BufReader::new(stream).lines();
     let mut stands = false;
     while let Some(Ok(line)) = lines.next() {
         match line.as_str() {
-            _ if stands => write!(out, "{line}\r\n")?,
-            "PING" => write!(out, "PONG\r\n")?,
+            _ if stands => out.write_all(format!("{line}\r\n").as_bytes())?,
+            "PING" => out.write_all(b"PONG\r\n")?,
             "STATS" => {
                 let n = held.load(Relaxed);
                 let load = f64::from(n) / f64::from(ROOM);
-                write!(out, "PONG inflight={n},util={load},x0={load}\r\n")?;
+                out.write_all(format!("PONG inflight={n},util={load},x0={load}\r\n").as_bytes())?;
             }
             head if head.starts_with("OPEN ") => {
                 stands = true;
                 println!("{name} holds {}: {head}", held.fetch_add(1, Relaxed) + 1);
-                write!(out, "UP {name}\r\nLOAD 1000\r\n")?;
+                out.write_all(format!("UP {name}\r\nLOAD 1000\r\n").as_bytes())?;
             }
-            _ => write!(out, "SYNTAX\r\n")?,
+            _ => out.write_all(b"SYNTAX\r\n")?,
         }
     }
     if stands {
