--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -427,6 +427,43 @@
     }
 }
 
+/// How late 99 in 100 lines are that a server pushes a millisecond apart, milliseconds.
+fn pushed(mut server: Peer, mut client: Peer) -> f64 {
+    let begun = Instant::now();
+    let pushing = thread::spawn(move || {
+        for n in 0..1000 {
+            thread::sleep((begun + Duration::from_millis(n)).saturating_duration_since(Instant::now()));
+            server.say(&format!("{}\r\n", begun.elapsed().as_micros()));
+        }
+        server
+    });
+    let mut late: Vec<_> = (0..1000)
+        .map(|_| {
+            let sent: u128 = client.hear().trim().parse().unwrap();
+            (begun.elapsed().as_micros() - sent) as f64 / 1e3
+        })
+        .collect();
+    drop(pushing.join().unwrap());
+    late.sort_by(f64::total_cmp);
+    late[989]
+}
+
+/// A line that waits for the receipt of the one before would be some 40 ms late.
+#[test]
+fn lines_pushed_by_a_server_do_not_wait_for_receipts() {
+    let (listener, at) = server();
+    let client = Peer::connect(at, "");
+    let server = Peer::accept(&listener);
+    server.0.get_ref().set_nodelay(true).unwrap();
+    let direct = pushed(server, client);
+    let proxy = quiet(&[at]);
+    let (client, server) = standing(proxy.address, &listener);
+    server.0.get_ref().set_nodelay(true).unwrap();
+    let through = pushed(server, client);
+    eprintln!("99 in 100 within {direct:.2} ms direct, {through:.2} ms through the proxy");
+    assert!(through < 20.0, "{through} ms, {direct} ms direct");
+}
+
 /// Reads one request of the watch: its path.
 fn asked(agent: &mut Peer) -> String {
     let line = agent.hear();
--- /dev/null
+++ b/crates/larklink-proxy/tests/rehearsals.rs
@@ -0,0 +1,164 @@
+//! The program itself in small rehearsals: clean as it is, and each fault that is planted before it is found.
+use std::path::Path;
+use std::thread;
+
+use larklink_rehearse::doors::Planted;
+use larklink_rehearse::report::Report;
+use larklink_rehearse::run::{Options, run};
+use larklink_world::audit::Broken;
+use larklink_world::scenario::Scenario;
+
+/// A run for which the machine had no time counts for nothing and is made again, so often.
+const TRIES: u64 = 4;
+
+/// Something of everything: a server joins cold, one drains, one drops what it takes.
+const TROUBLED: &str = "
+length = '10s'
+[proxies]
+count = 2
+[[servers]]
+count = 4
+setup_work = '20ms'
+[[servers]]
+count = 1
+setup_work = '20ms'
+listed = false
+[[listeners]]
+name = 'pick-list'
+standing = 60
+rate = 50.0
+life = '4s'
+[[listeners]]
+name = 'stock-check'
+kind = 'once-only'
+dial_timeout = '1500ms'
+standing = 0
+rate = 40.0
+life = '3s'
+[[faults]]
+what = 'servers-join'
+at = '2s'
+[[faults]]
+what = 'server-drops'
+at = '4s'
+for = '3s'
+factor = 3.0
+which = [1]
+[[faults]]
+what = 'server-drains'
+at = '6s'
+for = '3s'
+which = [0]
+";
+
+fn rehearse(text: &str, seed: u64, planted: Option<Planted>) -> Report {
+    let scenario = Scenario::read(text).unwrap_or_else(|wrong| panic!("{wrong:?}"));
+    let mut options = Options::new(Path::new(env!("CARGO_BIN_EXE_larklink")), seed);
+    options.planted = planted;
+    (0..TRIES)
+        .map(|_| run(&scenario, &options).unwrap())
+        .find(|report| !report.strained || planted == Some(Planted::StallsKit))
+        .expect("the machine is too busy for any rehearsal")
+}
+
+fn clean(report: &Report) {
+    let some: Vec<_> = report.breaches.iter().take(5).collect();
+    assert!(report.kept(), "seed {}: {some:#?} {:?}", report.seed, report.unmet);
+}
+
+fn found(report: &Report, what: Broken) -> bool {
+    report.breaches.iter().any(|b| b.what == what)
+}
+
+#[test]
+fn a_calm_day_is_clean() {
+    let report = rehearse("length = '4s'\n", 1, None);
+    clean(&report);
+    assert!(report.service > 0.95, "{}", report.service);
+    assert!(report.rows[0].answers.accepted > 200);
+}
+
+/// The front goes on sending to the dead proxy; what it held is told apart from a loss.
+#[test]
+fn a_proxy_killed_and_started_again_loses_nothing_else() {
+    let text = "length = '6s'\n[[faults]]\nwhat = 'proxy-killed'\nat = '2s'\nfor = '2s'\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.nobody_there > 0, "{:?}", report.rows[0].answers);
+    assert_eq!(report.daemons[0].starts, 2);
+}
+
+#[test]
+fn proxies_that_stop_in_turn_and_read_their_files_anew_move_all_they_hold() {
+    let text = "length = '8s'\n[proxies]\ncount = 2\n[[faults]]\nwhat = 'proxy-reloaded'\nat = '500ms'\n\
+                [[faults]]\nwhat = 'proxy-stopped'\nat = '2s'\nfor = '100ms'\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.moved > 20, "{:?}", report.rows[0].answers);
+}
+
+/// All try again at once while the store is slow: each hears, and nobody twice.
+#[test]
+fn a_storm_of_retries_on_a_slow_store_is_answered() {
+    let text = "length = '8s'\n[store]\nrate = 200.0\nbound = '1s'\n[[listeners]]\nstanding = 150\nlife = '30s'\n\
+                rate = 5.0\nspread = '1500ms'\nretry = 'at-once'\n[[faults]]\nwhat = 'store-slow'\nat = '3s'\n\
+                for = '3s'\nfactor = 8.0\n[[faults]]\nwhat = 'clients-dropped'\nat = '3500ms'\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.refused > 0, "{:?}", report.rows[0].answers);
+}
+
+/// A server that pauses for longer than its clients wait, and then answers: the late run is in the book, and no
+/// client hears of it.
+#[test]
+fn an_answer_after_the_clients_patience_reaches_nobody() {
+    let text = "length = '7s'\n[rules]\nprobes = false\n[[servers]]\ncount = 1\n[[listeners]]\nkind = 'once-only'\nstanding = 30\n\
+           dial_timeout = '600ms'\nrate = 30.0\n[[faults]]\nwhat = 'server-paused'\nat = '3s'\nfor = '2s'\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.ran_late > 0, "{:?}", report.rows[0].answers);
+}
+
+#[test]
+fn each_planted_fault_is_found_and_the_daemon_alone_is_clean() {
+    let of = |planted| match planted {
+        Planted::AnswersTwice => Broken::TwoAnswers,
+        Planted::SwallowsAnswers => Broken::NoAnswer,
+        Planted::DialsTwo => Broken::TwoDialsOut,
+        Planted::DialsDraining => Broken::AfterDrain,
+        Planted::SendsAgain => Broken::MayRunTwice,
+        Planted::Cuts => Broken::CutWithoutMove,
+        Planted::Rushes => Broken::ColdRushed,
+        Planted::StallsKit => unreachable!("it breaks no rule"),
+    };
+    // A few at a time, so that the machine has time for each.
+    for planted in Planted::BREAKING.chunks(4) {
+        let runs = planted.iter().map(|&p| (p, thread::spawn(move || rehearse(TROUBLED, 1, Some(p)))));
+        for (planted, run) in runs.collect::<Vec<_>>() {
+            let report = run.join().unwrap();
+            assert!(found(&report, of(planted)), "{planted:?}: {:?}", report.breaches.iter().take(3));
+        }
+    }
+    let alone = (1..=3).map(|seed| thread::spawn(move || rehearse(TROUBLED, seed, None)));
+    alone.collect::<Vec<_>>().into_iter().for_each(|run| clean(&run.join().unwrap()));
+}
+
+#[test]
+fn a_run_for_which_the_kit_itself_is_late_counts_for_nothing() {
+    let report = rehearse("length = '2s'\n", 1, Some(Planted::StallsKit));
+    assert!(report.strained, "{:?}", report.kit_late_us);
+}
+
+#[test]
+fn what_cannot_be_run_is_refused_with_its_reason() {
+    let wrong = |text: &str, daemon: &str| {
+        run(&Scenario::read(text).unwrap(), &Options::new(Path::new(daemon), 1)).unwrap_err()
+    };
+    let many = wrong("[[listeners]]\nstanding = 9000000\n", "/bin/true");
+    assert!(many.contains("descriptors are needed"), "{many}");
+    let few = wrong("[proxies]\ndescriptors = 100\n", "/bin/true");
+    assert!(few.contains("each daemon needs"), "{few}");
+    let ended = wrong("", "/bin/false");
+    assert!(ended.contains("proxy 0 ended at its start"), "{ended}");
+    assert!(wrong("", "/nonexistent").contains("/nonexistent"));
+}
--- /dev/null
+++ b/crates/larklink-rehearse/src/clients.rs
@@ -0,0 +1,180 @@
+//! Scripted clients: a connection each, through the front, noting all that comes.
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use larklink_world::book::{Answer, Ask, End, What};
+
+use crate::stage::{Order, Stage};
+use crate::wire::{Lines, answer, client_line, numbers, open_line};
+
+/// After a final answer that ends the session, more is looked for until the end, or for so long.
+const MORE: Duration = Duration::from_millis(400);
+
+/// Opens a session, at the proxy that the front deals it to.
+pub fn start(stage: &Rc<Stage>, ask: Ask) {
+    let now = stage.now();
+    let Some(proxy) = stage.world.borrow_mut().front.deal(now) else {
+        // Nobody is in front: it tries again like one without an answer.
+        return stage.world.borrow_mut().clients.lost(now, ask.id);
+    };
+    let (to, orders) = async_channel::unbounded();
+    stage.clients.borrow_mut().insert(ask.id, to);
+    let stage = Rc::clone(stage);
+    Rc::clone(&stage).spawn(async move {
+        let id = ask.id;
+        client(&stage, ask, proxy, &orders).await;
+        stage.clients.borrow_mut().remove(&id);
+        stage.stir();
+    });
+}
+
+enum Next {
+    Line(std::io::Result<Option<Vec<u8>>>),
+    Order(Order),
+}
+
+async fn next(lines: &mut Lines, orders: &Receiver<Order>) -> Next {
+    let line = async { Next::Line(lines.next().await) };
+    let order = async {
+        match orders.recv().await {
+            Ok(order) => Next::Order(order),
+            Err(_) => futures_lite::future::pending().await,
+        }
+    };
+    line.or(order).await
+}
+
+async fn client(stage: &Rc<Stage>, ask: Ask, proxy: usize, orders: &Receiver<Order>) {
+    let (id, listener) = (ask.id, ask.listener);
+    let opened = async {
+        let stream = Async::<TcpStream>::connect(stage.front_at[proxy]).await?;
+        let lines = Lines::new(stream);
+        let text = open_line(&ask, &stage.scenario.listeners[listener].get_ref().name);
+        // Its time counts from the last byte, and what follows from it is to stand behind it in the book.
+        stage.world.borrow_mut().book.note(stage.now(), What::Opened { ask: ask.clone(), proxy });
+        lines.say(&text).await?;
+        Ok::<_, std::io::Error>(lines)
+    };
+    let Ok(mut lines) = opened.await else {
+        let now = stage.now();
+        let mut world = stage.world.borrow_mut();
+        if !matches!(world.book.entries.last(), Some(e) if matches!(&e.what, What::Opened { ask, .. } if ask.id == id))
+        {
+            world.book.note(now, What::Opened { ask, proxy });
+        }
+        return world.nobody_there(now, id, proxy);
+    };
+    match next(&mut lines, orders).await {
+        Next::Order(Order::Drop) => return lines.cut(),
+        Next::Order(_) => return,
+        Next::Line(Ok(Some(line))) => match answer(&line) {
+            Some(Answer::Accepted) => {
+                stage.world.borrow_mut().answered(stage.now(), id, Answer::Accepted);
+            }
+            other => {
+                let now = stage.now();
+                match other {
+                    Some(answer) => stage.world.borrow_mut().answered(now, id, answer),
+                    None => {
+                        let mut world = stage.world.borrow_mut();
+                        world.book.note(now, What::Garbled { id });
+                        world.clients.lost(now, id);
+                    }
+                }
+                stage.stir();
+                return nothing_more(stage, id, &mut lines).await;
+            }
+        },
+        Next::Line(end) => {
+            let how = if end.is_ok() { End::Closed } else { End::Broken };
+            return stage.world.borrow_mut().unanswered(stage.now(), id, how);
+        }
+    }
+    stage.stir();
+    let asks = stage.scenario.listeners[listener].get_ref().deaf_kb;
+    if asks > 0 {
+        return deaf(stage, id, asks, lines, orders).await;
+    }
+    stand(stage, id, listener, lines, orders).await;
+}
+
+async fn nothing_more(stage: &Stage, id: u64, lines: &mut Lines) {
+    let line = async { matches!(lines.next().await, Ok(Some(_))) };
+    let limit = async {
+        Timer::after(MORE).await;
+        false
+    };
+    if line.or(limit).await {
+        stage.world.borrow_mut().book.note(stage.now(), What::More { id });
+    }
+}
+
+/// Asks for much, says its lines and reads nothing, until it is let go.
+async fn deaf(stage: &Rc<Stage>, id: u64, asks: usize, lines: Lines, orders: &Receiver<Order>) {
+    let mut said = lines.say(&format!("G {asks}\r\n")).await;
+    while let Ok(order) = orders.recv().await {
+        match order {
+            Order::Line(number) if said.is_ok() => said = lines.say(&client_line(number, stage.now())).await,
+            Order::Line(_) => break,
+            Order::Drop => return lines.cut(),
+            Order::Leave => return,
+        }
+    }
+    stage.world.borrow_mut().ended(stage.now(), id, End::Broken);
+}
+
+/// A session that was accepted, to its end.
+async fn stand(stage: &Rc<Stage>, id: u64, listener: usize, mut lines: Lines, orders: &Receiver<Order>) {
+    let mut moved = false;
+    // When each line went out; they come back in their order.
+    let mut out = std::collections::VecDeque::new();
+    loop {
+        match next(&mut lines, orders).await {
+            Next::Order(Order::Line(number)) => {
+                let now = stage.now();
+                out.push_back((number, now));
+                if lines.say(&client_line(number, now)).await.is_err() {
+                    // How it ended shows on the way back.
+                }
+            }
+            Next::Order(Order::Drop) => return lines.cut(),
+            Next::Order(Order::Leave) => return,
+            Next::Line(Ok(Some(line))) => {
+                let now = stage.now();
+                if line == b"MOVE" {
+                    moved = true;
+                } else if let Some(numbers) = numbers(&line) {
+                    let came = out.iter().position(|&sent| numbers.get(..2) == Some(&[sent.0, sent.1]));
+                    match came {
+                        Some(at) => {
+                            out.drain(..=at);
+                            let back = numbers.get(2).copied();
+                            let took = stage.world.borrow_mut().back(now, id, numbers[0], back);
+                            if let Some(took) = took {
+                                let _ = stage.trips.borrow_mut()[listener].record(took);
+                            }
+                        }
+                        None => stage.world.borrow_mut().book.note(now, What::Changed { id }),
+                    }
+                } else if answer(&line).is_some() {
+                    stage.world.borrow_mut().book.note(now, What::More { id });
+                } else if !line.starts_with(b"LOAD ") && line != b"BYE" {
+                    stage.world.borrow_mut().book.note(now, What::Changed { id });
+                }
+            }
+            Next::Line(end) => {
+                let how = match end {
+                    _ if moved => End::Moved,
+                    Ok(_) => End::Closed,
+                    Err(_) => End::Broken,
+                };
+                stage.world.borrow_mut().ended(stage.now(), id, how);
+                return stage.stir();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/larklink-rehearse/src/wire.rs
@@ -0,0 +1,123 @@
+//! The platform's lines as the stand-ins speak them: read and written here apart from the daemon that they judge.
+use std::io::{ErrorKind, Result};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use larklink::types::Time;
+use larklink_world::book::{Answer, Ask};
+use larklink_world::server::{Report, Say};
+use socket2::{Domain, SockRef, Socket, Type};
+
+const LONGEST: usize = 4096;
+const BACKLOG: i32 = 1024;
+
+/// A connection that is read line by line.
+pub struct Lines {
+    pub stream: Async<TcpStream>,
+    bytes: Vec<u8>,
+}
+
+impl Lines {
+    pub fn new(stream: Async<TcpStream>) -> Self {
+        let _ = stream.get_ref().set_nodelay(true);
+        Self { stream, bytes: Vec::new() }
+    }
+
+    /// The next line without its CRLF; nothing at the end. May be dropped and called again at any time.
+    pub async fn next(&mut self) -> Result<Option<Vec<u8>>> {
+        loop {
+            if let Some(at) = self.bytes.windows(2).position(|w| w == b"\r\n") {
+                let line = self.bytes[..at].to_vec();
+                self.bytes.drain(..at + 2);
+                return Ok(Some(line));
+            }
+            if self.bytes.len() > LONGEST {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            let mut chunk = [0; LONGEST];
+            match (&self.stream).read(&mut chunk).await? {
+                0 => return Ok(None),
+                n => self.bytes.extend_from_slice(&chunk[..n]),
+            }
+        }
+    }
+
+    pub async fn say(&self, text: &str) -> Result<()> {
+        (&self.stream).write_all(text.as_bytes()).await
+    }
+
+    /// Ends as one that broke.
+    pub fn cut(self) {
+        let _ = SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Listens there, also where connections of a listener before are still closing.
+pub fn listen(at: SocketAddr) -> Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(socket.into())
+}
+
+pub fn open_line(ask: &Ask, listener: &str) -> String {
+    let mut line = format!("OPEN {:x} {:x} c={listener},t=floor,d={}", ask.id, ask.key, ask.patience / 10);
+    line += &format!(",g={:x}", ask.group);
+    line += if ask.retry { ",r=1" } else { "" };
+    line += if ask.again { ",again=1" } else { "" };
+    line + "\r\n"
+}
+
+/// A session's id, its listener and for how many milliseconds the sender waits, from a first line.
+pub fn head(line: &[u8]) -> Option<(u64, &str, u64)> {
+    let text = std::str::from_utf8(line).ok()?;
+    let mut words = text.strip_prefix("OPEN ")?.split(' ');
+    let id = u64::from_str_radix(words.next()?, 16).ok()?;
+    let (_key, list) = (words.next()?, words.next()?);
+    let value =
+        |name| list.split(',').find_map(|p| p.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v);
+    Some((id, value("c")?, value("d")?.parse().ok()?))
+}
+
+/// What a first answer says; nothing if it is none.
+pub fn answer(line: &[u8]) -> Option<Answer> {
+    let text = std::str::from_utf8(line).ok()?;
+    let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+    match word {
+        "UP" => Some(Answer::Accepted),
+        "BUSY" if rest.is_empty() => Some(Answer::Refused(0)),
+        "BUSY" => rest.parse().ok().map(Answer::Refused),
+        "ERR" => Some(Answer::TornDown),
+        _ => None,
+    }
+}
+
+/// A client's line: its number and when it was sent.
+pub fn client_line(number: u64, now: Time) -> String {
+    format!("M {number} {now}\r\n")
+}
+
+/// The numbers of a line that went to a server, or of one that came back with the server's time added.
+pub fn numbers(line: &[u8]) -> Option<Vec<u64>> {
+    let text = std::str::from_utf8(line).ok()?.strip_prefix("M ")?;
+    text.split(' ').map(|n| n.parse().ok()).collect()
+}
+
+/// What a server writes; the connection ends after some.
+pub fn server_line(say: &Say, conn: u64, now: Time) -> Option<String> {
+    Some(match say {
+        Say::Up => format!("UP {conn:x}\r\n"),
+        Say::Busy => "BUSY\r\n".into(),
+        Say::Error => "ERR\r\n".into(),
+        Say::Move => "MOVE\r\n".into(),
+        Say::Load(load) => format!("LOAD {load:.0}\r\n"),
+        Say::Line(text) => format!("{} {now}\r\n", String::from_utf8_lossy(text)),
+        Say::Pong(Report { held, used, asked }) => {
+            format!("PONG inflight={held},util={used:.3},x0={asked:.3}\r\n")
+        }
+        Say::Cut => return None,
+    })
+}
--- /dev/null
+++ b/crates/larklink-world/src/audit.rs
@@ -0,0 +1,433 @@
+//! The audit: joins what clients and servers wrote by session id and judges the four rules. What went down with
+//! a proxy that was killed is told apart, by name, from a loss.
+use std::collections::BTreeMap;
+
+use larklink::types::Time;
+use serde::Serialize;
+
+use crate::book::{Answer, Ask, Book, DialEnd, End, Entry, What};
+use crate::scenario::{Kind, Listener, Scenario};
+use crate::spans::SECOND;
+
+/// Sockets get so much more than each time limit.
+const MORE: Time = SECOND / 20;
+/// What its server ended is ended or moved within this.
+const ENDED_WITHIN: Time = SECOND;
+
+/// What was broken; the names stand in reports and in `docs/rehearse.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Broken {
+    NoAnswer,
+    TwoAnswers,
+    LateAnswer,
+    NotAnAnswer,
+    TwoDialsOut,
+    MayRunTwice,
+    RefusedThoughItMayHaveRun,
+    AcceptedByNobody,
+    TooManyDials,
+    ToldTooLong,
+    AfterDrain,
+    ColdRushed,
+    CutWithoutMove,
+    LineHeld,
+    LineChanged,
+    EndedLate,
+    SilentTooLong,
+    LeftBehind,
+}
+
+impl Broken {
+    /// The rule, from 1 to 4, or 0 for what is asked of sockets besides.
+    pub fn rule(self) -> u8 {
+        match self {
+            Self::NoAnswer
+            | Self::TwoAnswers
+            | Self::LateAnswer
+            | Self::NotAnAnswer
+            | Self::AcceptedByNobody => 1,
+            Self::TwoDialsOut | Self::MayRunTwice | Self::RefusedThoughItMayHaveRun | Self::TooManyDials => 2,
+            Self::AfterDrain => 3,
+            Self::ColdRushed => 4,
+            _ => 0,
+        }
+    }
+}
+
+/// One broken rule: whose session, when, and what was seen.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub what: Broken,
+    pub rule: u8,
+    /// The session's id in hex; empty where no session is meant.
+    pub session: String,
+    /// Tenths of a millisecond from the start.
+    pub at: Time,
+    pub seen: String,
+}
+
+/// How the sessions of a listener came out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Answers {
+    pub opened: u64,
+    pub accepted: u64,
+    pub refused: u64,
+    pub torn_down: u64,
+    /// Held by a proxy that was killed: the client's to try again.
+    pub with_proxy: u64,
+    /// Sent by the front to a proxy that was dead.
+    pub nobody_there: u64,
+    /// Still waiting at the end of the run, or given up by the client for a reason of its own.
+    pub open: u64,
+    pub dials: u64,
+    pub retries: u64,
+    pub moved: u64,
+    pub ran_late: u64,
+    /// Time to the answer of each accepted session, tenths of a millisecond.
+    #[serde(skip)]
+    pub took: Vec<Time>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Findings {
+    pub listeners: Vec<Answers>,
+    pub breaches: Vec<Breach>,
+}
+
+impl Findings {
+    /// How often each thing was broken.
+    pub fn counts(&self) -> BTreeMap<Broken, usize> {
+        self.breaches.iter().fold(BTreeMap::new(), |mut all, b| {
+            *all.entry(b.what).or_default() += 1;
+            all
+        })
+    }
+}
+
+struct Dial {
+    server: usize,
+    conn: u64,
+    at: Time,
+    told: u64,
+    ended: Option<(Time, DialEnd)>,
+}
+
+impl Dial {
+    fn never_ran(&self) -> bool {
+        matches!(self.ended, Some((_, DialEnd::TurnedAway)))
+    }
+}
+
+struct Session {
+    ask: Ask,
+    proxy: usize,
+    at: Time,
+    answers: Vec<(Time, Answer)>,
+    garbled: Option<Time>,
+    more: Option<Time>,
+    nobody: bool,
+    ran_late: u64,
+    ended: Option<(Time, End)>,
+    dials: Vec<Dial>,
+}
+
+/// Spans of time in which something was so.
+#[derive(Default)]
+struct Spans(Vec<(Time, Time)>);
+
+impl Spans {
+    fn begin(&mut self, at: Time) {
+        if self.0.last().is_none_or(|&(_, to)| to != Time::MAX) {
+            self.0.push((at, Time::MAX));
+        }
+    }
+
+    fn end(&mut self, at: Time) {
+        if let Some(last) = self.0.last_mut().filter(|(_, to)| *to == Time::MAX) {
+            last.1 = at;
+        }
+    }
+
+    fn meets(&self, from: Time, to: Time) -> bool {
+        self.0.iter().any(|&(a, b)| a <= to && from <= b)
+    }
+}
+
+struct Auditor<'a> {
+    scenario: &'a Scenario,
+    listeners: Vec<&'a Listener>,
+    sessions: BTreeMap<u64, Session>,
+    /// When each proxy was gone or going, and when each server was dead or silent.
+    proxies: Vec<Spans>,
+    servers: Vec<Spans>,
+    /// When each proxy was last told that each server drains or is gone; nothing while it is up.
+    told: BTreeMap<(usize, usize), Option<Time>>,
+    found: Vec<Breach>,
+}
+
+/// Judges a book; `end` is when the run was stopped, and what was open then is not judged for its end.
+pub fn audit(scenario: &Scenario, book: &Book, end: Time) -> Findings {
+    let mut auditor = Auditor {
+        scenario,
+        listeners: scenario.listeners.iter().map(|l| l.get_ref()).collect(),
+        sessions: BTreeMap::new(),
+        proxies: (0..scenario.proxies.count).map(|_| Spans::default()).collect(),
+        servers: (0..scenario.server_count()).map(|_| Spans::default()).collect(),
+        told: BTreeMap::new(),
+        found: Vec::new(),
+    };
+    for entry in &book.entries {
+        auditor.read(entry);
+    }
+    let mut listeners = vec![Answers::default(); scenario.listeners.len()];
+    for (id, session) in std::mem::take(&mut auditor.sessions) {
+        let to = &mut listeners[session.ask.listener];
+        auditor.judge(id, &session, end, to);
+        auditor.dials(id, &session);
+    }
+    let mut breaches = auditor.found;
+    breaches.sort_by_key(|b| b.at);
+    Findings { listeners, breaches }
+}
+
+impl Auditor<'_> {
+    fn breach(&mut self, what: Broken, id: u64, at: Time, seen: String) {
+        let session = if id == 0 { String::new() } else { format!("{id:x}") };
+        self.found.push(Breach { what, rule: what.rule(), session, at, seen });
+    }
+
+    fn read(&mut self, entry: &Entry) {
+        let at = entry.at;
+        match &entry.what {
+            What::Opened { ask, proxy } => {
+                let session = Session {
+                    ask: ask.clone(),
+                    proxy: *proxy,
+                    at,
+                    answers: Vec::new(),
+                    garbled: None,
+                    more: None,
+                    nobody: false,
+                    ran_late: 0,
+                    ended: None,
+                    dials: Vec::new(),
+                };
+                self.sessions.insert(ask.id, session);
+            }
+            What::NobodyThere { id, .. } => self.with(*id, |s| s.nobody = true),
+            What::Answered { id, answer } => self.with(*id, |s| s.answers.push((at, *answer))),
+            What::More { id } => self.with(*id, |s| s.more = s.more.or(Some(at))),
+            What::Garbled { id } => self.with(*id, |s| s.garbled = s.garbled.or(Some(at))),
+            What::Ended { id, how } => self.with(*id, |s| s.ended = s.ended.or(Some((at, *how)))),
+            What::RanLate { id, .. } => self.with(*id, |s| s.ran_late += 1),
+            What::Held { id, way, took } => {
+                let seen = format!("{way:?}: {} ms between one end and the other", took / 10);
+                self.breach(Broken::LineHeld, *id, at, seen);
+            }
+            What::Changed { id } => {
+                self.breach(Broken::LineChanged, *id, at, "a line came other than it went".into())
+            }
+            What::SilentFor { id, span } => {
+                let seen = format!("{} ms without a line", span / 10);
+                self.breach(Broken::SilentTooLong, *id, at, seen);
+            }
+            &What::Dial { id, server, conn, told } => self.dialled(at, id, server, conn, told),
+            &What::DialEnded { id, conn, how, .. } => self.with(id, |s| {
+                if let Some(dial) = s.dials.iter_mut().find(|d| d.conn == conn)
+                    && !matches!(
+                        dial.ended,
+                        Some((_, DialEnd::Cut | DialEnd::SentAway | DialEnd::TurnedAway | DialEnd::Failed))
+                    )
+                {
+                    dial.ended = Some((at, how));
+                }
+            }),
+            &What::Over { server, ratio } => {
+                let may = self.scenario.each_server().nth(server).map_or(0.0, |s| s.fall_multiple);
+                let seen = format!("server {server}: {ratio:.1} times what it can do, {may} allowed");
+                self.breach(Broken::ColdRushed, 0, at, seen);
+            }
+            &What::ServerDied { server } => self.servers[server].begin(at),
+            &What::ServerBack { server } => self.servers[server].end(at),
+            &What::ServerSilent { server, .. } => self.servers[server].begin(at),
+            &What::LeftBehind { server, sessions } => {
+                let seen = format!("server {server} went with {sessions} sessions standing");
+                self.breach(Broken::LeftBehind, 0, at, seen);
+            }
+            &What::Told { proxy, server, ready } => {
+                let since = self.told.entry((proxy, server)).or_default();
+                *since = if ready { None } else { since.or(Some(at)) };
+            }
+            // A planned stop excuses nothing, but where packets pass through nobody can be moved.
+            &What::ProxyGone { proxy, planned } => {
+                if !planned || self.scenario.rules.passes {
+                    self.proxies[proxy].begin(at);
+                }
+            }
+            &What::ProxyUp { proxy } => {
+                self.proxies[proxy].end(at);
+                // It starts from nothing.
+                self.told.retain(|&(p, _), _| p != proxy);
+            }
+            What::ProxyGone { .. }
+            | What::GaveUp { .. }
+            | What::Ran { .. }
+            | What::LineLate { .. }
+            | What::Fault(_) => {}
+        }
+    }
+
+    fn with(&mut self, id: u64, note: impl FnOnce(&mut Session)) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            note(session);
+        }
+    }
+
+    fn dialled(&mut self, at: Time, id: u64, server: usize, conn: u64, told: u64) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let proxy = session.proxy;
+        session.dials.push(Dial { server, conn, at, told, ended: None });
+        let may = self.scenario.rules.drain_grace.0 + MORE;
+        if let Some(&Some(since)) = self.told.get(&(proxy, server))
+            && at > since + may
+        {
+            let after = (at - since) / 10;
+            let seen = format!(
+                "server {server} dialled {after} ms after proxy {proxy} was told it drains or is gone"
+            );
+            self.breach(Broken::AfterDrain, id, at, seen);
+        }
+    }
+
+    fn judge(&mut self, id: u64, s: &Session, end: Time, to: &mut Answers) {
+        to.opened += 1;
+        to.retries += u64::from(s.ask.retry);
+        to.dials += s.dials.len() as u64;
+        to.ran_late += s.ran_late;
+        let limit = s.at + s.ask.patience + MORE;
+        if s.nobody {
+            to.nobody_there += 1;
+            return;
+        }
+        if let Some(at) = s.garbled {
+            self.breach(Broken::NotAnAnswer, id, at, "a line that is no answer".into());
+        }
+        if let Some(at) = s.more {
+            self.breach(Broken::TwoAnswers, id, at, "something came after the final answer".into());
+        }
+        if let [_, (at, second), ..] = s.answers[..] {
+            self.breach(Broken::TwoAnswers, id, at, format!("{second:?} after the final answer"));
+        }
+        let Some(&(at, answer)) = s.answers.first() else {
+            let until = s.ended.map_or(limit, |(at, _)| at).min(limit);
+            if self.proxies[s.proxy].meets(s.at, until) {
+                to.with_proxy += 1;
+            } else if limit >= end || matches!(s.ended, Some((_, End::Left))) {
+                to.open += 1;
+            } else {
+                let seen = match s.ended {
+                    Some((_, how)) => format!("the connection ended ({how:?}) without one"),
+                    None => format!("none within {} ms", s.ask.patience / 10),
+                };
+                self.breach(Broken::NoAnswer, id, until, seen);
+            }
+            return;
+        };
+        if at > limit {
+            let late = (at - s.at) / 10;
+            let seen = format!("{answer:?} after {late} ms, {} allowed", s.ask.patience / 10);
+            self.breach(Broken::LateAnswer, id, at, seen);
+        }
+        match answer {
+            Answer::Accepted => {
+                to.accepted += 1;
+                to.took.push(at - s.at);
+                // Who never reads can be told nothing.
+                if self.listeners[s.ask.listener].deaf_kb == 0 {
+                    self.stood(id, s, at, end, to);
+                }
+            }
+            Answer::Refused(_) => {
+                to.refused += 1;
+                let listener = self.listeners[s.ask.listener];
+                // A repeat of a referenced session is harmless for as long as the first is known.
+                let harmless = |d: &Dial| match listener.kind {
+                    Kind::Repeatable => true,
+                    Kind::OnceOnly => d.never_ran(),
+                    Kind::Referenced => d.never_ran() || at <= d.at + listener.window.0 + MORE,
+                };
+                if let Some(d) = s.dials.iter().find(|d| !harmless(d)) {
+                    let seen = format!("refused though the dial of server {} may have run", d.server);
+                    self.breach(Broken::RefusedThoughItMayHaveRun, id, at, seen);
+                }
+            }
+            Answer::TornDown => to.torn_down += 1,
+        }
+    }
+
+    /// A session that was accepted: what became of its connection.
+    fn stood(&mut self, id: u64, s: &Session, at: Time, end: Time, to: &mut Answers) {
+        let Some(dial) = s.dials.iter().rev().find(|d| d.at <= at) else {
+            return self.breach(Broken::AcceptedByNobody, id, at, "no server was dialled".into());
+        };
+        // Both ends of the run's connections count a little apart.
+        let server_ended = dial.ended.filter(|(_, how)| matches!(how, DialEnd::Cut | DialEnd::SentAway));
+        let server_gone = |from, to| self.servers[dial.server].meets(from, to);
+        match s.ended {
+            Some((_, End::Moved)) => to.moved += 1,
+            Some((when, how @ (End::Closed | End::Broken))) => {
+                let from = when.saturating_sub(ENDED_WITHIN + MORE);
+                let excused = server_ended.is_some_and(|(t, _)| t <= when + MORE)
+                    || server_gone(from, when)
+                    || self.proxies[s.proxy].meets(at, when);
+                if !excused {
+                    let seen = format!("{how:?} while server {} answered", dial.server);
+                    self.breach(Broken::CutWithoutMove, id, when, seen);
+                }
+            }
+            _ => {}
+        }
+        if let Some((ended, _)) = server_ended {
+            let until = ended + ENDED_WITHIN + MORE;
+            let client = s.ended.map_or(end, |(t, _)| t);
+            if client > until && !self.proxies[s.proxy].meets(at, until) {
+                let seen =
+                    format!("its server ended it {} ms before its client heard", (client - ended) / 10);
+                self.breach(Broken::EndedLate, id, client, seen);
+            }
+        }
+    }
+
+    fn dials(&mut self, id: u64, s: &Session) {
+        let listener = self.listeners[s.ask.listener];
+        if s.dials.len() > self.scenario.rules.dials as usize {
+            let seen = format!("{} dials, {} allowed", s.dials.len(), self.scenario.rules.dials);
+            self.breach(Broken::TooManyDials, id, s.dials.last().map_or(0, |d| d.at), seen);
+        }
+        for (i, dial) in s.dials.iter().enumerate() {
+            let left = (s.at + s.ask.patience + MORE).saturating_sub(dial.at);
+            if dial.told * 10 > left {
+                let seen =
+                    format!("server {} was told {} ms, the client had {}", dial.server, dial.told, left / 10);
+                self.breach(Broken::ToldTooLong, id, dial.at, seen);
+            }
+            for earlier in &s.dials[..i] {
+                let between = format!("server {} while that of server {}", dial.server, earlier.server);
+                if earlier.ended.is_none_or(|(t, _)| t > dial.at + MORE) {
+                    self.breach(Broken::TwoDialsOut, id, dial.at, format!("a dial of {between} was out"));
+                }
+                let again = match listener.kind {
+                    Kind::Repeatable => false,
+                    Kind::OnceOnly => !earlier.never_ran(),
+                    Kind::Referenced => {
+                        !earlier.never_ran() && dial.at > earlier.at + listener.window.0 + MORE
+                    }
+                };
+                if again {
+                    self.breach(Broken::MayRunTwice, id, dial.at, format!("dial of {between} may have run"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/larklink-world/src/clients.rs
@@ -0,0 +1,381 @@
+//! Clients: when they come, how long they wait, what they send, when they try again, and how long they stay.
+use std::collections::HashMap;
+
+use larklink::types::Time;
+use rand::{Rng, RngExt};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1};
+
+use crate::book::{Answer, Ask, End};
+use crate::scenario::{Listener, Retry};
+use crate::spans::{Agenda, SECOND};
+
+/// What a client does, for whoever carries it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Open(Ask),
+    /// Its line of that number.
+    Line {
+        id: u64,
+        number: u64,
+    },
+    /// It has not had an answer in time, and a little more for one that is late.
+    GiveUp {
+        id: u64,
+    },
+    /// It has had what it came for.
+    Leave {
+        id: u64,
+    },
+    /// A line has been without one back for longer than any connection may be silent.
+    Silent {
+        id: u64,
+        span: Time,
+    },
+}
+
+/// An answer that comes so long after the dial timeout is still seen, as late.
+const SEES_LATE: Time = SECOND / 4;
+/// Lines out at once; a client that has had none of them back sends no more.
+const OUT_AT_ONCE: usize = 8;
+/// A connection that brings nothing back from a running server is to be ended within this.
+pub const SILENT: Time = 7 * SECOND;
+
+enum Due {
+    Comes(usize),
+    Tries(usize),
+    GivesUp(u64),
+    Line(u64),
+    Done(u64),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Standing,
+}
+
+struct Person {
+    listener: usize,
+    key: u64,
+    group: u64,
+    until: Time,
+    tries: u32,
+    again: bool,
+    retry: bool,
+}
+
+struct Session {
+    client: usize,
+    state: State,
+    number: u64,
+    /// When the lines went out that are not back yet.
+    out: Vec<(u64, Time)>,
+    heard: Time,
+    /// Well served since then; nothing after a line that was late.
+    well_from: Option<Time>,
+}
+
+/// Figures of a listener.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Tenths of a millisecond.
+    pub asked: Time,
+    pub well: Time,
+    pub lines: u64,
+    pub late: u64,
+    pub gone_without: u64,
+}
+
+pub struct Clients {
+    listeners: Vec<Listener>,
+    people: Vec<Person>,
+    /// Asked for by id only, never in their order.
+    sessions: HashMap<u64, Session>,
+    agenda: Agenda<Due>,
+    chance: ChaCha8Rng,
+    /// No new ones from then on.
+    length: Time,
+    pub tallies: Vec<Tally>,
+    pub waiting: usize,
+    pub standing: usize,
+}
+
+impl Clients {
+    pub fn new(listeners: Vec<Listener>, length: Time, chance: ChaCha8Rng) -> Self {
+        let tallies = vec![Tally::default(); listeners.len()];
+        let mut new = Self {
+            listeners,
+            people: Vec::new(),
+            sessions: HashMap::new(),
+            agenda: Agenda::default(),
+            chance,
+            length,
+            tallies,
+            waiting: 0,
+            standing: 0,
+        };
+        for listener in 0..new.listeners.len() {
+            for _ in 0..new.listeners[listener].standing {
+                let at = new.share(new.listeners[listener].spread.0, 0.0, 1.0);
+                new.comes(at, listener);
+            }
+            new.next(0, listener);
+        }
+        new
+    }
+
+    /// The work of one line, microseconds of a core.
+    pub fn line_work(&self, listener: usize) -> f64 {
+        let l = &self.listeners[listener];
+        l.load * l.every.0 as f64 * 100.0
+    }
+
+    /// The load that one session is, microseconds of work a second.
+    pub fn load(&self, listener: usize) -> f64 {
+        self.listeners[listener].load * 1e6
+    }
+
+    /// The listener of a session's client.
+    pub fn listener_of(&self, id: u64) -> Option<usize> {
+        self.sessions.get(&id).map(|s| self.people[s.client].listener)
+    }
+
+    pub fn due(&self) -> Time {
+        self.agenda.due()
+    }
+
+    fn share(&mut self, of: Time, from: f64, to: f64) -> Time {
+        (of as f64 * self.chance.random_range(from..to)) as Time
+    }
+
+    fn exponential(&mut self, mean: f64) -> Time {
+        let drawn: f64 = Exp1.sample(&mut self.chance);
+        (drawn * mean) as Time
+    }
+
+    fn next(&mut self, now: Time, listener: usize) {
+        let rate = self.listeners[listener].rate;
+        if rate > 0.0 {
+            let at = now + self.exponential(SECOND as f64 / rate);
+            if at < self.length {
+                self.agenda.add(at, Due::Comes(listener));
+            }
+        }
+    }
+
+    fn comes(&mut self, at: Time, listener: usize) {
+        let l = &self.listeners[listener];
+        // As many groups as hold so many clients each in the mean.
+        let people = l.standing as f64 + l.rate * l.life.0 as f64 / SECOND as f64;
+        let groups = ((people / l.group as f64).ceil() as u64).max(1);
+        let life = l.life.0;
+        let until = at + self.exponential(life as f64).max(SECOND / 2);
+        let drawn = self.chance.random_range(0..groups);
+        // Listeners share no groups.
+        let group = (drawn + 1) * 0x9e37 + listener as u64;
+        let key = self.chance.next_u64();
+        self.people.push(Person { listener, key, group, until, tries: 0, again: false, retry: false });
+        self.tallies[listener].asked += until.min(self.length).saturating_sub(at);
+        self.agenda.add(at, Due::Tries(self.people.len() - 1));
+    }
+
+    /// All that clients do by now.
+    pub fn turn(&mut self, now: Time, acts: &mut Vec<Act>) {
+        while let Some((at, due)) = self.agenda.pop(now) {
+            match due {
+                Due::Comes(listener) => {
+                    self.comes(at, listener);
+                    self.next(at, listener);
+                }
+                Due::Tries(client) => self.tries(now, client, acts),
+                Due::GivesUp(id) => {
+                    if self.sessions.get(&id).is_some_and(|s| s.state == State::Waiting) {
+                        acts.push(Act::GiveUp { id });
+                        self.failed(now, id, 0);
+                    }
+                }
+                Due::Line(id) => self.line(now, id, acts),
+                Due::Done(id) => {
+                    if self.sessions.contains_key(&id) {
+                        self.over(now, id);
+                        acts.push(Act::Leave { id });
+                    }
+                }
+            }
+        }
+    }
+
+    fn tries(&mut self, now: Time, client: usize, acts: &mut Vec<Act>) {
+        let id = self.chance.next_u64();
+        let p = &mut self.people[client];
+        if now >= self.length || now >= p.until {
+            return;
+        }
+        p.tries += 1;
+        let patience = self.listeners[p.listener].dial_timeout.0;
+        let ask = Ask {
+            client,
+            id,
+            key: p.key,
+            group: p.group,
+            listener: p.listener,
+            patience,
+            again: p.again,
+            retry: p.retry,
+        };
+        let session = Session {
+            client,
+            state: State::Waiting,
+            number: 0,
+            out: Vec::new(),
+            heard: now,
+            well_from: None,
+        };
+        self.sessions.insert(id, session);
+        self.waiting += 1;
+        self.agenda.add(now + patience + SEES_LATE, Due::GivesUp(id));
+        acts.push(Act::Open(ask));
+    }
+
+    fn line(&mut self, now: Time, id: u64, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.state == State::Standing) else { return };
+        let listener = &self.listeners[self.people[session.client].listener];
+        self.agenda.add(now + listener.every.0, Due::Line(id));
+        if let Some(&(_, first)) = session.out.first() {
+            // What is out for longer than the target is no service, whether or not it comes back.
+            if now - first > listener.line_target.0
+                && let Some(from) = session.well_from.take()
+            {
+                self.tallies[self.people[session.client].listener].well += first.saturating_sub(from);
+            }
+            if now - session.heard > SILENT && listener.deaf_kb == 0 {
+                acts.push(Act::Silent { id, span: now - session.heard });
+            }
+        }
+        if session.out.len() < OUT_AT_ONCE {
+            session.number += 1;
+            session.out.push((session.number, now));
+            acts.push(Act::Line { id, number: session.number });
+        }
+    }
+
+    /// A session has had its final answer.
+    pub fn answered(&mut self, now: Time, id: u64, answer: Answer) {
+        match answer {
+            Answer::Accepted => {
+                let Some(session) = self.sessions.get_mut(&id).filter(|s| s.state == State::Waiting) else {
+                    return;
+                };
+                (session.state, session.heard, session.well_from) = (State::Standing, now, Some(now));
+                let client = session.client;
+                self.waiting -= 1;
+                self.standing += 1;
+                let p = &mut self.people[client];
+                (p.tries, p.retry, p.again) = (0, false, false);
+                let (until, listener) = (p.until, p.listener);
+                self.agenda.add(until.max(now), Due::Done(id));
+                let first = self.share(self.listeners[listener].every.0, 0.0, 1.0);
+                self.agenda.add(now + first, Due::Line(id));
+            }
+            Answer::Refused(ms) => self.failed(now, id, ms * 10),
+            Answer::TornDown => self.failed(now, id, 0),
+        }
+    }
+
+    /// A session's line is back: how long it was away, if it was out at all, and if that is late.
+    pub fn back(&mut self, now: Time, id: u64, number: u64) -> Option<(Time, bool)> {
+        let session = self.sessions.get_mut(&id)?;
+        session.heard = now;
+        let at = session.out.iter().position(|&(n, _)| n == number)?;
+        let (_, sent) = session.out.remove(at);
+        let listener = self.people[session.client].listener;
+        let (took, tally) = (now - sent, &mut self.tallies[listener]);
+        tally.lines += 1;
+        let late = took > self.listeners[listener].line_target.0;
+        if late {
+            tally.late += 1;
+            if let Some(from) = session.well_from.take() {
+                tally.well += sent.saturating_sub(from);
+            }
+        } else if session.well_from.is_none() {
+            session.well_from = Some(now);
+        }
+        Some((took, late))
+    }
+
+    /// A session without an answer that went to a proxy where nobody was, or whose connection ended.
+    pub fn lost(&mut self, now: Time, id: u64) {
+        self.failed(now, id, 0);
+    }
+
+    /// An accepted session's connection has ended: its client comes again.
+    pub fn ended(&mut self, now: Time, id: u64, how: End) {
+        let Some(client) = self.over(now, id).filter(|_| how != End::Left) else { return };
+        let p = &mut self.people[client];
+        p.again = true;
+        let wait = self.listeners[p.listener].again_after.0;
+        let at = now + self.share(wait, 0.5, 1.5);
+        self.agenda.add(at, Due::Tries(client));
+    }
+
+    fn failed(&mut self, now: Time, id: u64, at_least: Time) {
+        let Some(client) = self.over(now, id) else { return };
+        let p = &mut self.people[client];
+        let listener = p.listener;
+        let l = &self.listeners[listener];
+        if p.tries >= l.tries || l.retry == Retry::Never {
+            self.tallies[listener].gone_without += 1;
+            return;
+        }
+        p.retry = true;
+        let (retry, wait) = (l.retry, l.wait.0.max(at_least));
+        let at = match retry {
+            Retry::AtOnce => now + 10,
+            _ => now + self.share(wait, 0.5, 1.5).max(at_least),
+        };
+        self.agenda.add(at, Due::Tries(client));
+    }
+
+    /// Ends a session, and says whose it was.
+    fn over(&mut self, now: Time, id: u64) -> Option<usize> {
+        let session = self.sessions.remove(&id)?;
+        match session.state {
+            State::Waiting => self.waiting -= 1,
+            State::Standing => self.standing -= 1,
+        }
+        if let Some(from) = session.well_from {
+            // A line that is out speaks against the time since it was sent.
+            let to = session.out.first().map_or(now, |&(_, sent)| sent).min(self.length);
+            let listener = self.people[session.client].listener;
+            self.tallies[listener].well += to.saturating_sub(from);
+        }
+        Some(session.client)
+    }
+
+    /// Draws that share of those who stand now, in the order of their clients.
+    pub fn drawn(&mut self, share: f64) -> Vec<u64> {
+        let stands = |(&id, s): (&u64, &Session)| (s.state == State::Standing).then_some((s.client, id));
+        let mut all: Vec<_> = self.sessions.iter().filter_map(stands).collect();
+        all.sort_unstable();
+        all.retain(|_| self.chance.random_bool(share.clamp(0.0, 1.0)));
+        all.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Closes the accounts at the end of a run.
+    pub fn finish(&mut self, now: Time) {
+        let ids: Vec<_> = self.sessions.keys().copied().collect();
+        for id in ids {
+            self.over(now, id);
+        }
+    }
+
+    /// Utility of well-served seconds over seconds asked for.
+    pub fn service(&self) -> f64 {
+        let sum = |of: fn(&Tally) -> Time| -> f64 {
+            self.tallies.iter().zip(&self.listeners).map(|(t, l)| of(t) as f64 * l.utility).sum()
+        };
+        let asked = sum(|t| t.asked);
+        if asked > 0.0 { sum(|t| t.well) / asked } else { 1.0 }
+    }
+}
--- /dev/null
+++ b/crates/larklink-world/src/lib.rs
@@ -0,0 +1,16 @@
+//! What a proxy serves and is served by, as a model: servers that tire, a session store, clients with their
+//! patience, the front that deals them out, the list of servers, and the book in which each of them writes
+//! what it saw. The time is an argument and chance comes from a seed, so that the same model runs in simulated
+//! time ([`simulate`]) and, carried by `larklink-rehearse`, on sockets.
+pub mod audit;
+pub mod book;
+pub mod clients;
+pub mod faults;
+pub mod front;
+pub mod list;
+pub mod scenario;
+pub mod server;
+pub mod simulate;
+pub mod spans;
+pub mod store;
+pub mod world;
--- /dev/null
+++ b/crates/larklink-world/src/list.rs
@@ -0,0 +1,100 @@
+//! The list of servers as discovery has it: changes show after a lag, and not at all while it stands still.
+use larklink::types::Time;
+
+use crate::spans::Agenda;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Up,
+    Draining,
+    Removed,
+}
+
+impl Status {
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Draining => "draining",
+            Self::Removed => "removed",
+        }
+    }
+}
+
+/// A server's line: where it stands and when it last started; 0: long ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Line {
+    pub server: usize,
+    pub status: Status,
+    pub started: Time,
+}
+
+#[derive(Default)]
+pub struct List {
+    lag: Time,
+    coming: Agenda<Line>,
+    /// Each server's latest line, and the version that brought it.
+    lines: Vec<(u64, Line)>,
+    version: u64,
+    still_until: Time,
+    lost_until: Time,
+}
+
+impl List {
+    /// All servers are up and warm.
+    pub fn new(servers: usize, lag: Time) -> Self {
+        let lines = (0..servers).map(|server| (1, Line { server, status: Status::Up, started: 0 }));
+        Self { lag, lines: lines.collect(), version: 1, ..Self::default() }
+    }
+
+    /// A server that is not there from the start.
+    pub fn leave_out(&mut self, server: usize) {
+        self.lines[server].1.status = Status::Removed;
+    }
+
+    /// Something is so from now on; it shows after the lag.
+    pub fn change(&mut self, now: Time, line: Line) {
+        self.coming.add(now + self.lag, line);
+    }
+
+    pub fn stand_still(&mut self, until: Time) {
+        self.still_until = until;
+    }
+
+    /// Out of reach until then: calls are not answered.
+    pub fn lose(&mut self, until: Time) {
+        self.lost_until = until;
+    }
+
+    pub fn answers(&self, now: Time) -> bool {
+        now >= self.lost_until
+    }
+
+    pub fn due(&self) -> Time {
+        self.coming.due().max(self.still_until)
+    }
+
+    /// Takes in what shows by now; whether there was anything.
+    pub fn turn(&mut self, now: Time) -> bool {
+        let before = self.version;
+        while now >= self.still_until
+            && let Some((_, line)) = self.coming.pop(now)
+        {
+            self.version += 1;
+            self.lines[line.server] = (self.version, line);
+        }
+        self.version != before
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The lines that are newer than that version; removed servers are no part of the whole list.
+    pub fn after(&self, version: Option<u64>) -> Vec<Line> {
+        let newer = |&&(v, line): &&(u64, Line)| match version {
+            Some(known) => v > known,
+            None => line.status != Status::Removed,
+        };
+        self.lines.iter().filter(newer).map(|&(_, line)| line).collect()
+    }
+}
--- /dev/null
+++ b/crates/larklink-world/src/server.rs
@@ -0,0 +1,406 @@
+//! A tired server. It works at set-ups and lines with its cores, in the order they came; it is slow while cold
+//! and falls over when it is sent more than a multiple of what it can do then; it may pause, go silent, die,
+//! drain, and drop what it has just taken.
+use std::collections::{BTreeMap, VecDeque};
+
+use larklink::types::Time;
+
+use crate::spans::{Agenda, SECOND};
+use crate::store::Store;
+
+/// A connection to a server, numbered by whoever carries it.
+pub type Conn = u64;
+
+/// What a server is made of. Work is in microseconds of a core that is warm and of speed 1.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    pub cores: usize,
+    pub speed: f64,
+    pub holds: usize,
+    pub setup_work: f64,
+    /// Set-ups are turned away while more work than this waits.
+    pub queue: Time,
+    pub start_capacity: f64,
+    pub warm_up: Time,
+    pub fall_multiple: f64,
+    pub fall_after: Time,
+    /// Whether it dies of that, and after how long it is back.
+    pub falls: bool,
+    pub back_after: Time,
+    /// Load reports are made so often, and are told until the next.
+    pub report_every: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    Draining,
+    /// Connections stand, nothing is read or written.
+    Silent,
+    Dead,
+}
+
+/// What a server tells of its load when probed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub held: usize,
+    /// Share of the last span that its cores worked.
+    pub used: f64,
+    /// Work asked for in it over what it could have done.
+    pub asked: f64,
+}
+
+/// What a server says on a connection or does to it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Say {
+    Up,
+    Busy,
+    Error,
+    /// The session's load, microseconds of work a second.
+    Load(f64),
+    Line(Vec<u8>),
+    Move,
+    Pong(Report),
+    /// The connection breaks.
+    Cut,
+}
+
+/// What is to be carried out, and what goes into the book.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Say(Conn, Say),
+    /// A set-up was done for a connection that is gone: it ran all the same.
+    RanLate(u64),
+    Ran(u64),
+    /// Sent more than its multiple for too long, by so much.
+    Over(f64),
+    Died,
+    /// Takes connections (again).
+    Back,
+}
+
+enum Due {
+    Stored(Conn, bool),
+    Ready(Conn),
+    Line(Conn, Vec<u8>),
+    Pong(Conn),
+    Back,
+    Wakes,
+}
+
+struct Held {
+    session: u64,
+    load: f64,
+    stands: bool,
+}
+
+pub struct Server {
+    profile: Profile,
+    life: Life,
+    /// When it last started cold; nothing if it was warm from the first.
+    cold_since: Option<Time>,
+    /// When each core is free.
+    cores: Vec<f64>,
+    held: BTreeMap<Conn, Held>,
+    /// Sessions of connections that were given up while their set-up was under way.
+    orphans: BTreeMap<Conn, u64>,
+    agenda: Agenda<Due>,
+    paused_until: Time,
+    silent_until: Time,
+    /// One in so many of those just taken is dropped; 0: none.
+    drops: u64,
+    taken: u64,
+    /// Work received of late, for falling over.
+    received: VecDeque<(Time, f64)>,
+    sum: f64,
+    over: bool,
+    report: Report,
+    reported: Time,
+    worked: f64,
+    asked: f64,
+    /// All work done so far, microseconds at the speed of a warm core.
+    pub done: f64,
+}
+
+impl Server {
+    pub fn new(profile: Profile) -> Self {
+        Self {
+            cores: vec![0.0; profile.cores],
+            profile,
+            life: Life::Up,
+            cold_since: None,
+            held: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+            agenda: Agenda::default(),
+            paused_until: 0,
+            silent_until: 0,
+            drops: 0,
+            taken: 0,
+            received: VecDeque::new(),
+            sum: 0.0,
+            over: false,
+            report: Report::default(),
+            reported: 0,
+            worked: 0.0,
+            asked: 0.0,
+            done: 0.0,
+        }
+    }
+
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    pub fn held(&self) -> usize {
+        self.held.values().filter(|h| h.stands).count()
+    }
+
+    /// When it last started, for the list; nothing if long ago.
+    pub fn started(&self) -> Option<Time> {
+        self.cold_since
+    }
+
+    /// The share of its full capacity that it has now.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(since) = self.cold_since else { return 1.0 };
+        let gone = now.saturating_sub(since) as f64 / (self.profile.warm_up as f64).max(1.0);
+        (self.profile.start_capacity + (1.0 - self.profile.start_capacity) * gone).min(1.0)
+    }
+
+    /// Microseconds of work that it can do in a second now.
+    pub fn capacity(&self, now: Time) -> f64 {
+        self.profile.cores as f64 * self.profile.speed * self.warmth(now) * 1e6
+    }
+
+    fn cold(&self, now: Time) -> bool {
+        self.cold_since.is_some_and(|since| now < since + self.profile.warm_up)
+    }
+
+    /// Whether it answers those who connect.
+    pub fn listens(&self) -> bool {
+        matches!(self.life, Life::Up | Life::Draining)
+    }
+
+    /// A session's first line has come.
+    pub fn head(
+        &mut self,
+        now: Time,
+        conn: Conn,
+        session: u64,
+        load: f64,
+        store: &mut Store,
+        out: &mut Vec<Out>,
+    ) {
+        match self.life {
+            Life::Dead => return out.push(Out::Say(conn, Say::Cut)),
+            Life::Silent => return,
+            Life::Draining => return out.push(Out::Say(conn, Say::Busy)),
+            Life::Up => {}
+        }
+        self.receive(now, self.profile.setup_work, out);
+        if self.life == Life::Dead {
+            return out.push(Out::Say(conn, Say::Cut));
+        }
+        let waits = self.cores.iter().copied().fold(f64::MAX, f64::min) - now as f64;
+        if self.held.len() >= self.profile.holds || waits > self.profile.queue as f64 {
+            return out.push(Out::Say(conn, Say::Busy));
+        }
+        self.taken += 1;
+        if self.drops > 0 && self.taken.is_multiple_of(self.drops) {
+            return out.push(Out::Say(conn, Say::Cut));
+        }
+        self.held.insert(conn, Held { session, load, stands: false });
+        match store.call(now) {
+            Ok(at) => self.agenda.add(at, Due::Stored(conn, true)),
+            Err(at) => self.agenda.add(at, Due::Stored(conn, false)),
+        }
+    }
+
+    /// A line of an accepted session has come; it is sent back when its work is done.
+    pub fn line(&mut self, now: Time, conn: Conn, work: f64, text: Vec<u8>, out: &mut Vec<Out>) {
+        if !self.held.contains_key(&conn) || !self.listens() {
+            return;
+        }
+        self.receive(now, work, out);
+        if self.life != Life::Dead {
+            let at = self.work(now, work);
+            self.agenda.add(at, Due::Line(conn, text));
+        }
+    }
+
+    pub fn probe(&mut self, now: Time, conn: Conn) {
+        if self.listens() {
+            self.agenda.add(now, Due::Pong(conn));
+        }
+    }
+
+    /// A connection has ended from the other side.
+    pub fn closed(&mut self, conn: Conn) {
+        if let Some(held) = self.held.remove(&conn).filter(|h| !h.stands) {
+            self.orphans.insert(conn, held.session);
+        }
+    }
+
+    /// The first core that is free does it: when it is done.
+    fn work(&mut self, now: Time, work: f64) -> Time {
+        let speed = self.profile.speed * self.warmth(now);
+        let core = self.cores.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("a server has a core");
+        // Never faster than it is at the start of the work: it only warms up.
+        *core = core.max(now as f64) + work / 100.0 / speed;
+        self.done += work;
+        self.worked += work;
+        core.ceil() as Time
+    }
+
+    /// Notes work that was sent here; too much of it for too long, and a cold server falls over.
+    fn receive(&mut self, now: Time, work: f64, out: &mut Vec<Out>) {
+        self.asked += work;
+        self.received.push_back((now, work));
+        self.sum += work;
+        while let Some(&(at, old)) =
+            self.received.front().filter(|(at, _)| at + self.profile.fall_after <= now)
+        {
+            debug_assert!(at <= now);
+            self.received.pop_front();
+            self.sum -= old;
+        }
+        let may = self.capacity(now) * self.profile.fall_after as f64 / SECOND as f64;
+        let ratio = self.sum / may.max(1e-9);
+        let over = self.cold(now) && ratio > self.profile.fall_multiple;
+        if over && !self.over {
+            out.push(Out::Over(ratio));
+            if self.profile.falls {
+                self.die(now, out);
+                self.agenda.add(now + self.profile.back_after, Due::Back);
+            }
+        }
+        self.over = over;
+    }
+
+    pub fn die(&mut self, now: Time, out: &mut Vec<Out>) {
+        if self.life == Life::Dead {
+            return;
+        }
+        self.life = Life::Dead;
+        self.agenda.clear();
+        (self.received, self.sum) = (VecDeque::new(), 0.0);
+        self.orphans.clear();
+        out.extend(std::mem::take(&mut self.held).into_keys().map(|conn| Out::Say(conn, Say::Cut)));
+        out.push(Out::Died);
+        self.cores.fill(now as f64);
+    }
+
+    /// Starts anew: cold from now on.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Out>) {
+        self.die(now, out);
+        (self.life, self.cold_since, self.over) = (Life::Up, Some(now), false);
+        (self.paused_until, self.silent_until) = (0, 0);
+        out.push(Out::Back);
+    }
+
+    pub fn drain(&mut self) {
+        if self.life == Life::Up {
+            self.life = Life::Draining;
+        }
+    }
+
+    /// Sends all that still stand away.
+    pub fn send_away(&mut self, out: &mut Vec<Out>) {
+        out.extend(std::mem::take(&mut self.held).into_keys().map(|conn| Out::Say(conn, Say::Move)));
+    }
+
+    /// Does nothing until then, and then answers what waited.
+    pub fn pause(&mut self, until: Time) {
+        self.paused_until = self.paused_until.max(until);
+        self.agenda.add(until, Due::Wakes);
+        self.cores.iter_mut().for_each(|free| *free = free.max(until as f64));
+    }
+
+    /// Cut off until then; its connections break when it is back.
+    pub fn silence(&mut self, until: Time) {
+        if self.listens() {
+            self.life = Life::Silent;
+            self.silent_until = until;
+            self.agenda.add(until, Due::Wakes);
+        }
+    }
+
+    /// Drops one in so many of those it takes; 0 ends that.
+    pub fn drop_one_in(&mut self, n: u64) {
+        self.drops = n;
+    }
+
+    pub fn due(&self) -> Time {
+        match self.life {
+            Life::Silent => self.silent_until,
+            _ => self.agenda.due().max(self.paused_until),
+        }
+    }
+
+    /// All that is done by now.
+    pub fn turn(&mut self, now: Time, out: &mut Vec<Out>) {
+        if self.life == Life::Silent {
+            if now < self.silent_until {
+                return;
+            }
+            // What it held breaks now; it has been running all the time and is as warm as it was.
+            self.die(now, out);
+            self.life = Life::Up;
+            out.push(Out::Back);
+        }
+        if now < self.paused_until {
+            return;
+        }
+        self.measure(now);
+        while let Some((at, due)) = self.agenda.pop(now) {
+            match due {
+                Due::Stored(conn, true) => {
+                    // Given up or not, it is worked at.
+                    if self.held.contains_key(&conn) || self.orphans.contains_key(&conn) {
+                        let ready = self.work(at.max(self.paused_until), self.profile.setup_work);
+                        self.agenda.add(ready, Due::Ready(conn));
+                    }
+                }
+                Due::Stored(conn, false) => {
+                    self.orphans.remove(&conn);
+                    if self.held.remove(&conn).is_some() {
+                        out.push(Out::Say(conn, Say::Error));
+                    }
+                }
+                Due::Ready(conn) => match (self.held.get_mut(&conn), self.orphans.remove(&conn)) {
+                    (Some(held), _) => {
+                        held.stands = true;
+                        let load = held.load;
+                        out.push(Out::Ran(held.session));
+                        out.push(Out::Say(conn, Say::Up));
+                        out.push(Out::Say(conn, Say::Load(load)));
+                    }
+                    (None, Some(session)) => out.push(Out::RanLate(session)),
+                    (None, None) => {}
+                },
+                Due::Line(conn, text) => {
+                    if self.held.contains_key(&conn) {
+                        out.push(Out::Say(conn, Say::Line(text)));
+                    }
+                }
+                Due::Pong(conn) => out.push(Out::Say(conn, Say::Pong(self.report))),
+                Due::Back => self.start(now, out),
+                Due::Wakes => {}
+            }
+        }
+    }
+
+    fn measure(&mut self, now: Time) {
+        let span = now.saturating_sub(self.reported);
+        if span < self.profile.report_every {
+            return;
+        }
+        let could = self.capacity(now) * span as f64 / SECOND as f64;
+        let load: f64 = self.held.values().filter(|h| h.stands).map(|h| h.load).sum();
+        // What it holds asks for so much, whatever has come of it yet; set-ups come on top.
+        let asked = (load * span as f64 / SECOND as f64).max(self.asked);
+        self.report =
+            Report { held: self.held.len(), used: (self.worked / could).min(1.0), asked: asked / could };
+        (self.worked, self.asked, self.reported) = (0.0, 0.0, now);
+    }
+}
--- /dev/null
+++ b/crates/larklink-world/src/simulate.rs
@@ -0,0 +1,509 @@
+//! The world in simulated time, with the decisions of real proxies between clients and servers: no socket, no
+//! clock, the same seed the same book. Each message takes one hop.
+use std::collections::BTreeMap;
+
+use larklink::types::{Entry, How, Note, Scope, Session, State, Time};
+use larklink_core::core::{Action, Core};
+use larklink_core::settings::Facts;
+
+use crate::audit::{Findings, audit};
+use crate::book::{Answer, Ask, Book, DialEnd, End, What};
+use crate::clients::Act;
+use crate::list::{Line, Status};
+use crate::scenario::{Kind, Scenario};
+use crate::server::{Conn, Say};
+use crate::spans::{Agenda, SECOND};
+use crate::world::{Deed, World};
+
+/// From one end of a connection to the other.
+const HOP: Time = 2;
+/// What stands may end for so long after the last clients have come.
+const AFTER: Time = SECOND;
+/// The decisions' time starts here, so that no server's start lies at 0, which means long ago.
+const ORIGIN: Time = 100 * SECOND;
+
+/// A run's book, what the audit found in it, and its service.
+pub struct Run {
+    pub book: Book,
+    pub findings: Findings,
+    pub service: f64,
+}
+
+/// Who is at the other end of a connection to a server.
+#[derive(Clone, Copy)]
+enum Peer {
+    Session { proxy: usize, number: u32, dial: u8, id: u64 },
+    Probe { proxy: usize, sent: Time },
+}
+
+enum Hop {
+    Open(usize, Ask),
+    ToServer(usize, Conn),
+    FromServer(usize, Conn, Say),
+    ToClient(u64, Told),
+    ClientLine(u64, u64),
+    /// A dial that its proxy gives up at its limit, and one whose connection does not come up.
+    Limit(Conn),
+    Unmade(Conn),
+    List(usize),
+    Wakes,
+}
+
+#[derive(Clone)]
+enum Told {
+    Answer(Answer),
+    Move,
+    Ended,
+    Line(u64),
+}
+
+struct Flow {
+    proxy: usize,
+    number: u32,
+    ask: Ask,
+    conn: Option<Conn>,
+    /// The connection on which it was accepted.
+    stands: Option<Conn>,
+    told: u64,
+}
+
+struct Proxy {
+    core: Core,
+    alive: bool,
+    next: u32,
+    flows: BTreeMap<u32, u64>,
+    known: Option<u64>,
+}
+
+struct Sim<'a> {
+    scenario: &'a Scenario,
+    facts: Facts,
+    world: World,
+    proxies: Vec<Proxy>,
+    flows: BTreeMap<u64, Flow>,
+    peers: BTreeMap<Conn, (usize, Peer)>,
+    next_conn: Conn,
+    hops: Agenda<Hop>,
+    seed: u64,
+}
+
+/// The settings object that a daemon is given for a scenario.
+pub fn settings(scenario: &Scenario) -> serde_json::Value {
+    let ns = |t: Time| t * 100_000;
+    let grades = scenario.listeners.iter().map(|l| {
+        let l = l.get_ref();
+        let kind = match l.kind {
+            Kind::Repeatable => "idempotent",
+            Kind::Referenced => "deduplicated",
+            Kind::OnceOnly => "at_most_once",
+        };
+        serde_json::json!({"name": l.name, "idempotency": kind, "group": "all", "window_ns": ns(l.window.0),
+            "aim_ns": ns(l.handshake_target.0), "deadline_ns": ns(l.dial_timeout.0)})
+    });
+    let targets: Vec<_> = scenario.listeners.iter().map(|l| ns(l.get_ref().line_target.0)).collect();
+    let (rules, some) = (&scenario.rules, scenario.servers[0].get_ref());
+    serde_json::json!({
+        "discovery": "pushed",
+        "domain": {"mode": if scenario.rules.passes { "pass" } else { "proxy" }, "groups": true, "message_aim_ns": targets, "tells_delay": true,
+                   "tells_load": true},
+        "feedback": {"names": ["inflight", "util", "x0"], "source": "on_probe"},
+        "grades": grades.collect::<Vec<_>>(),
+        "group_size": scenario.proxies.count,
+        "policy_limits": {"dial_timeout_ns": ns(rules.connect_timeout.0), "send_cap": rules.dials,
+                          "max_retry_after_ns": ns(rules.retry_after.0),
+                          "retry_after": rules.retry_after.0 > 0, "probing": rules.probes},
+        "safety": {"cold_ns": ns(some.warm_up.0), "drain_grace_ns": ns(rules.drain_grace.0),
+                   "fall_multiple": some.fall_multiple, "must_ask_in_ns": ns(rules.must_ask_in.0),
+                   "overload_for_ns": ns(some.fall_after.0), "start_capacity": some.start_capacity},
+        "weights": "nominal",
+        "zones": ["a"],
+    })
+}
+
+/// Runs a scenario from a seed.
+pub fn run(scenario: &Scenario, seed: u64) -> Run {
+    let facts = Facts::read(settings(scenario).to_string().as_bytes()).expect("settings of our own make");
+    let world = World::new(scenario, seed);
+    let mut sim = Sim {
+        scenario,
+        facts,
+        world,
+        proxies: Vec::new(),
+        flows: BTreeMap::new(),
+        peers: BTreeMap::new(),
+        next_conn: 1,
+        hops: Agenda::default(),
+        seed,
+    };
+    for proxy in 0..scenario.proxies.count {
+        let core = sim.core(0, proxy);
+        sim.proxies.push(Proxy { core, alive: true, next: 0, flows: BTreeMap::new(), known: None });
+        sim.world.proxy_up(0, proxy);
+        sim.hear_list(0, proxy);
+    }
+    let end = scenario.length.0 + AFTER;
+    let mut now = 0;
+    while now <= end {
+        while let Some((_, hop)) = sim.hops.pop(now) {
+            sim.hop(now, hop);
+        }
+        let deeds = sim.world.turn(now);
+        sim.carry(now, deeds);
+        for proxy in 0..sim.proxies.len() {
+            sim.chores(now, proxy);
+        }
+        let core = |p: &Proxy| if p.alive { p.core.due().saturating_sub(ORIGIN) } else { Time::MAX };
+        let cores = sim.proxies.iter().map(core).min().unwrap_or(Time::MAX);
+        now = sim.world.due().min(sim.hops.due()).min(cores).max(now + 1);
+    }
+    sim.world.clients.finish(end);
+    let service = sim.world.clients.service();
+    let findings = audit(scenario, &sim.world.book, end);
+    Run { book: sim.world.book, findings, service }
+}
+
+impl Sim<'_> {
+    fn core(&self, now: Time, proxy: usize) -> Core {
+        let seed = self.seed.wrapping_mul(1000).wrapping_add(proxy as u64 + now);
+        Core::new(&self.facts, seed, ORIGIN + now)
+    }
+
+    fn hear_list(&mut self, now: Time, proxy: usize) {
+        if !self.proxies[proxy].alive || !self.world.list.answers(now) {
+            return;
+        }
+        let known = self.proxies[proxy].known;
+        let (version, lines) = self.world.tell(now, proxy, known);
+        let scope = if known.is_some() { Scope::Changes } else { Scope::Whole };
+        let weights: Vec<f64> = self.scenario.each_server().map(|s| s.weight).collect();
+        let entry = |line: &Line| Entry {
+            server: 0,
+            id: line.server as u32 + 1,
+            zone: 0,
+            cell: 0,
+            state: match line.status {
+                Status::Up => State::Ready,
+                Status::Draining => State::Draining,
+                Status::Removed => State::Gone,
+            },
+            weight: weights[line.server],
+            came_up: if line.started == 0 { 0 } else { ORIGIN + line.started },
+        };
+        self.proxies[proxy].known = Some(version);
+        let core = &mut self.proxies[proxy].core;
+        core.heard_list(ORIGIN + now, scope, lines.iter().map(entry).collect());
+    }
+
+    fn chores(&mut self, now: Time, proxy: usize) {
+        if self.proxies[proxy].alive {
+            for action in self.proxies[proxy].core.chores(ORIGIN + now) {
+                self.act(now, proxy, action);
+            }
+        }
+    }
+
+    fn carry(&mut self, now: Time, deeds: Vec<Deed>) {
+        for deed in deeds {
+            match deed {
+                Deed::Say { server, conn, say } => {
+                    self.hops.add(now + HOP, Hop::FromServer(server, conn, say))
+                }
+                Deed::Down { server } => {
+                    let broken: Vec<_> =
+                        self.peers.iter().filter(|(_, (s, _))| *s == server).map(|(&conn, _)| conn).collect();
+                    for conn in broken {
+                        self.hops.add(now + HOP, Hop::FromServer(server, conn, Say::Cut));
+                    }
+                }
+                Deed::Listen { .. } | Deed::Mute { .. } | Deed::Reload { .. } => {}
+                Deed::Client(act) => self.client(now, act),
+                Deed::Drop(ids) => ids.into_iter().for_each(|id| self.client_gone(now, id)),
+                Deed::Kill { proxy } => self.end_proxy(now, proxy, false),
+                Deed::Stop { proxy, back } => {
+                    self.end_proxy(now, proxy, true);
+                    if let Some(back) = back {
+                        self.hops.add(now + back, Hop::List(proxy));
+                    }
+                }
+                Deed::Start { proxy } => self.start_proxy(now, proxy),
+                Deed::ListChanged => {
+                    for proxy in 0..self.proxies.len() {
+                        self.hops.add(now + HOP, Hop::List(proxy));
+                    }
+                }
+            }
+        }
+        // A list that was out of reach is read as soon as it answers.
+        if self.proxies.iter().any(|p| p.alive && p.known != Some(self.world.list.version())) {
+            self.hops.add(now + SECOND / 10, Hop::Wakes);
+        }
+    }
+
+    fn start_proxy(&mut self, now: Time, proxy: usize) {
+        if !self.proxies[proxy].alive {
+            let core = self.core(now, proxy);
+            let next = self.proxies[proxy].next;
+            self.proxies[proxy] = Proxy { core, alive: true, next, flows: BTreeMap::new(), known: None };
+            self.hear_list(now, proxy);
+            self.world.proxy_up(now, proxy);
+        }
+    }
+
+    fn end_proxy(&mut self, now: Time, proxy: usize, planned: bool) {
+        let p = &mut self.proxies[proxy];
+        p.alive = false;
+        let flows = std::mem::take(&mut p.flows);
+        self.world.proxy_gone(now, proxy, planned);
+        for id in flows.into_values() {
+            let how = if planned { Told::Move } else { Told::Ended };
+            self.close_dial(now, id);
+            self.hops.add(now + HOP, Hop::ToClient(id, how));
+        }
+        self.peers.retain(|_, (_, peer)| !matches!(peer, Peer::Probe { proxy: p, .. } if *p == proxy));
+    }
+
+    fn client(&mut self, now: Time, act: Act) {
+        match act {
+            Act::Open(ask) => match self.world.front.deal(now) {
+                Some(proxy) => {
+                    self.world.book.note(now, What::Opened { ask: ask.clone(), proxy });
+                    self.hops.add(now + HOP, Hop::Open(proxy, ask));
+                }
+                // Nobody is in: it tries again like one that was not answered.
+                None => self.world.clients.lost(now, ask.id),
+            },
+            Act::Line { id, number } => self.hops.add(now + HOP, Hop::ClientLine(id, number)),
+            Act::GiveUp { id } | Act::Leave { id } => self.client_gone(now, id),
+            Act::Silent { .. } => {}
+        }
+    }
+
+    fn client_gone(&mut self, now: Time, id: u64) {
+        self.close_dial(now, id);
+        if let Some(flow) = self.flows.remove(&id) {
+            let proxy = &mut self.proxies[flow.proxy];
+            if proxy.flows.remove(&flow.number).is_some() {
+                proxy.core.left(flow.number);
+            }
+        }
+    }
+
+    /// The proxy's side of a dial or connection is closed.
+    fn close_dial(&mut self, now: Time, id: u64) {
+        let conn = self.flows.get_mut(&id).and_then(|f| f.conn.take());
+        if let Some((conn, (server, _))) = conn.and_then(|c| self.peers.remove(&c).map(|p| (c, p))) {
+            self.world.dial_ended(now, server, conn, id, DialEnd::GivenUp);
+        }
+    }
+
+    fn hop(&mut self, now: Time, hop: Hop) {
+        match hop {
+            Hop::Wakes => (0..self.proxies.len()).for_each(|p| self.hear_list(now, p)),
+            Hop::List(proxy) if !self.proxies[proxy].alive => self.start_if_planned(now, proxy),
+            Hop::List(proxy) => self.hear_list(now, proxy),
+            Hop::Open(proxy, ask) => self.open(now, proxy, ask),
+            Hop::ToServer(server, conn) => self.reach_server(now, server, conn),
+            Hop::FromServer(server, conn, say) => self.server_says(now, server, conn, say),
+            Hop::Limit(conn) => self.settle(now, conn, How::Late),
+            Hop::Unmade(conn) => self.settle(now, conn, How::Unmade),
+            Hop::ClientLine(id, number) => {
+                let at = self.flows.get(&id).and_then(|f| f.conn);
+                if let Some((conn, (server, _))) = at.and_then(|c| self.peers.get(&c).map(|p| (c, *p))) {
+                    let text = number.to_le_bytes().to_vec();
+                    let deeds = self.world.line(now, server, conn, id, None, text);
+                    self.carry(now, deeds);
+                }
+            }
+            Hop::ToClient(id, told) => self.tell_client(now, id, told),
+        }
+    }
+
+    /// A stop's end is modelled at once; its start is the only list word that a dead proxy waits for.
+    fn start_if_planned(&mut self, now: Time, proxy: usize) {
+        if self.scenario.faults.iter().any(|f| f.get_ref().what == crate::scenario::Trouble::ProxyStopped) {
+            self.start_proxy(now, proxy);
+        }
+    }
+
+    fn tell_client(&mut self, now: Time, id: u64, told: Told) {
+        match told {
+            Told::Answer(answer) => self.world.answered(now, id, answer),
+            Told::Line(number) => {
+                self.world.back(now, id, number, None);
+            }
+            Told::Move => {
+                self.flows.remove(&id);
+                self.world.ended(now, id, End::Moved);
+            }
+            Told::Ended => {
+                self.flows.remove(&id);
+                self.world.ended(now, id, End::Broken);
+            }
+        }
+    }
+
+    fn open(&mut self, now: Time, proxy: usize, ask: Ask) {
+        if !self.proxies[proxy].alive {
+            return self.world.nobody_there(now, ask.id, proxy);
+        }
+        let session = Session {
+            listener: ask.listener,
+            group_key: ask.group,
+            client_key: ask.key,
+            patience: ask.patience,
+            mid_flow: false,
+            again: ask.again,
+            retry: ask.retry,
+        };
+        let p = &mut self.proxies[proxy];
+        let number = p.next;
+        p.next += 1;
+        p.flows.insert(number, ask.id);
+        let told = ask.patience / 10;
+        self.flows.insert(ask.id, Flow { proxy, number, ask, conn: None, stands: None, told });
+        if let Some(action) = self.proxies[proxy].core.open(ORIGIN + now, number, session) {
+            self.act(now, proxy, action);
+        }
+    }
+
+    fn act(&mut self, now: Time, proxy: usize, action: Action) {
+        let id_of = |sim: &Self, number| sim.proxies[proxy].flows.get(&number).copied();
+        match action {
+            Action::Dial { session, dial, server, limit } => {
+                let Some(id) = id_of(self, session) else { return };
+                let server = server as usize - 1;
+                let conn = self.connect(server, Peer::Session { proxy, number: session, dial, id });
+                let flow = self.flows.get_mut(&id).expect("a flow of its proxy");
+                (flow.conn, flow.told) = (Some(conn), limit / 10);
+                self.reach(now, server, conn, limit.min(self.scenario.rules.connect_timeout.0));
+                self.hops.add(now + limit, Hop::Limit(conn));
+            }
+            Action::Refuse { session, retry_after } => {
+                self.answer(now, proxy, session, Answer::Refused(retry_after.div_ceil(10)));
+            }
+            Action::TearDown { session } => self.answer(now, proxy, session, Answer::TornDown),
+            Action::Move { session } => {
+                if let Some(id) = self.proxies[proxy].flows.remove(&session) {
+                    self.close_dial(now, id);
+                    self.hops.add(now + HOP, Hop::ToClient(id, Told::Move));
+                }
+            }
+            Action::Probe { server } => {
+                let server = server as usize - 1;
+                let conn = self.connect(server, Peer::Probe { proxy, sent: now });
+                self.reach(now, server, conn, self.scenario.rules.connect_timeout.0);
+                self.hops.add(now + self.scenario.rules.connect_timeout.0, Hop::Limit(conn));
+            }
+            Action::Subscribe | Action::Log(_) => {}
+        }
+    }
+
+    fn connect(&mut self, server: usize, peer: Peer) -> Conn {
+        self.next_conn += 1;
+        self.peers.insert(self.next_conn, (server, peer));
+        self.next_conn
+    }
+
+    /// A dead server refuses at once; a silent one never answers.
+    fn reach(&mut self, now: Time, server: usize, conn: Conn, connect: Time) {
+        match self.world.servers[server].life() {
+            crate::server::Life::Dead => self.hops.add(now + 2 * HOP, Hop::Unmade(conn)),
+            crate::server::Life::Silent => self.hops.add(now + connect, Hop::Unmade(conn)),
+            _ => self.hops.add(now + HOP, Hop::ToServer(server, conn)),
+        }
+    }
+
+    fn answer(&mut self, now: Time, proxy: usize, session: u32, answer: Answer) {
+        if let Some(id) = self.proxies[proxy].flows.remove(&session) {
+            self.flows.remove(&id);
+            self.hops.add(now + HOP, Hop::ToClient(id, Told::Answer(answer)));
+        }
+    }
+
+    fn reach_server(&mut self, now: Time, server: usize, conn: Conn) {
+        match self.peers.get(&conn) {
+            Some((_, Peer::Probe { .. })) => self.world.servers[server].probe(now, conn),
+            Some(&(_, Peer::Session { id, .. })) => {
+                let Some(flow) = self.flows.get(&id) else { return };
+                let (told, listener) = (flow.told, flow.ask.listener);
+                let deeds = self.world.dialled(now, server, conn, id, told, listener);
+                self.carry(now, deeds);
+            }
+            None => {}
+        }
+    }
+
+    fn server_says(&mut self, now: Time, server: usize, conn: Conn, say: Say) {
+        let Some(&(_, peer)) = self.peers.get(&conn) else { return };
+        let (proxy, number, dial, id) = match peer {
+            Peer::Session { proxy, number, dial, id } => (proxy, number, dial, id),
+            Peer::Probe { proxy, sent } => {
+                self.peers.remove(&conn);
+                let (how, values) = match say {
+                    Say::Pong(r) => (How::Accepted, vec![r.held as f64, r.used, r.asked]),
+                    _ => (How::Broken, Vec::new()),
+                };
+                let core = &mut self.proxies[proxy].core;
+                return core.probed(ORIGIN + now, server as u32 + 1, how, now + HOP - sent, &values);
+            }
+        };
+        let core = &mut self.proxies[proxy].core;
+        match say {
+            Say::Up => {
+                core.stood(ORIGIN + now, number, dial);
+                let Some(flow) = self.flows.get_mut(&id) else { return };
+                flow.stands = Some(conn);
+                self.world.book.note(now, What::DialEnded { id, server, conn, how: DialEnd::Accepted });
+                self.hops.add(now + HOP, Hop::ToClient(id, Told::Answer(Answer::Accepted)));
+            }
+            Say::Pong(_) => {}
+            Say::Load(load) => core.noted(ORIGIN + now, number, dial, Note::Load(load)),
+            Say::Line(text) => {
+                let number = u64::from_le_bytes(text.try_into().unwrap_or_default());
+                self.hops.add(now + HOP, Hop::ToClient(id, Told::Line(number)));
+            }
+            Say::Busy => self.settle(now, conn, How::Full),
+            Say::Error => self.settle(now, conn, How::Error),
+            Say::Cut => self.settle(now, conn, How::Broken),
+            Say::Move => self.settle(now, conn, How::CalledOff),
+        }
+    }
+
+    /// A dial, or an accepted session's connection, has ended so.
+    fn settle(&mut self, now: Time, conn: Conn, how: How) {
+        let Some(&(server, peer)) = self.peers.get(&conn) else { return };
+        let Peer::Session { proxy, number, dial, id } = peer else {
+            self.peers.remove(&conn);
+            if let Peer::Probe { proxy, sent } = peer {
+                self.proxies[proxy].core.probed(ORIGIN + now, server as u32 + 1, how, now - sent, &[]);
+            }
+            return;
+        };
+        let stood = self.flows.get(&id).is_some_and(|f| f.stands == Some(conn));
+        if how == How::Late && stood {
+            return;
+        }
+        self.peers.remove(&conn);
+        let seen = match how {
+            How::Full => Some(DialEnd::TurnedAway),
+            How::Error => Some(DialEnd::Failed),
+            How::Broken => Some(DialEnd::Cut),
+            How::CalledOff => Some(DialEnd::SentAway),
+            How::Late => Some(DialEnd::GivenUp),
+            _ => None,
+        };
+        if let Some(seen) = seen {
+            self.world.dial_ended(now, server, conn, id, seen);
+        }
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.conn = None;
+        }
+        let action = self.proxies[proxy].core.settled(ORIGIN + now, number, dial, how, stood);
+        if let Some(action) = action {
+            self.act(now, proxy, action);
+        } else if stood && self.proxies[proxy].flows.remove(&number).is_some() {
+            let told = if how == How::CalledOff { Told::Move } else { Told::Ended };
+            self.hops.add(now + HOP, Hop::ToClient(id, told));
+        }
+    }
+}
--- /dev/null
+++ b/crates/larklink-world/tests/world.rs
@@ -0,0 +1,224 @@
+//! The world alone, in simulated time: seeded runs that check after every step, and a case for each hard thing.
+use larklink_world::audit::Broken;
+use larklink_world::scenario::Scenario;
+use larklink_world::server::{Life, Out, Profile, Say, Server};
+use larklink_world::simulate::{Run, run};
+use larklink_world::spans::{SECOND, Span};
+use larklink_world::store::Store;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn profile() -> Profile {
+    Profile {
+        cores: 2,
+        speed: 1.0,
+        holds: 50,
+        setup_work: 2000.0,
+        queue: 2 * SECOND,
+        start_capacity: 0.1,
+        warm_up: 10 * SECOND,
+        fall_multiple: 4.0,
+        fall_after: SECOND,
+        falls: true,
+        back_after: SECOND,
+        report_every: SECOND / 5,
+    }
+}
+
+fn scenario(text: &str) -> Scenario {
+    Scenario::read(text).unwrap_or_else(|wrong| panic!("{wrong:?}"))
+}
+
+fn clean(run: &Run) {
+    let some: Vec<_> = run.findings.breaches.iter().take(5).collect();
+    assert!(some.is_empty(), "{:?} {some:#?}", run.findings.counts());
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 64, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Config::default() })]
+
+    /// Work is conserved: what is done is what was taken, and never more than the cores could do in that time.
+    #[test]
+    fn no_server_works_above_its_capacity(
+        steps in prop::collection::vec((0u64..400, 0u8..6, 100f64..20_000.0), 1..300),
+        cold in any::<bool>(),
+    ) {
+        let mut server = Server::new(Profile { falls: false, ..profile() });
+        let (mut now, mut conn, mut out) = (SECOND, 0, Vec::new());
+        if cold {
+            server.start(now, &mut out);
+        }
+        let mut store = Store::new(500.0, SECOND);
+        let (mut lines, mut answered) = (0, 0);
+        for (wait, kind, work) in steps {
+            now += wait;
+            match kind {
+                0 | 1 => {
+                    conn += 1;
+                    server.head(now, conn, conn, 1000.0, &mut store, &mut out);
+                }
+                2 => server.closed(conn),
+                3 => server.pause(now + wait),
+                _ => {
+                    lines += 1;
+                    server.line(now, conn, work, vec![1], &mut out);
+                }
+            }
+            server.turn(now, &mut out);
+            answered += out.iter().filter(|o| matches!(o, Out::Say(_, Say::Line(_)))).count();
+            prop_assert!(answered <= lines, "each line comes back once at most");
+            prop_assert!(server.held() <= 50);
+            out.clear();
+        }
+        // What it has taken on is done by then and not before: two cores at full speed at the best.
+        let begun = SECOND;
+        let mut end = now;
+        while server.due() != u64::MAX {
+            end = end.max(server.due());
+            server.turn(end, &mut out);
+        }
+        let could = (end - begun) as f64 / SECOND as f64 * 2e6;
+        prop_assert!(server.done <= could + 1.0, "{} done of {could}", server.done);
+    }
+
+    #[test]
+    fn a_store_serves_no_faster_than_its_rate(waits in prop::collection::vec(0u64..50, 1..500), slow in 1f64..10.0) {
+        let mut store = Store::new(1000.0, SECOND);
+        store.slow(slow);
+        let (mut now, mut last, mut n) = (0, 0, 0);
+        for wait in waits {
+            now += wait;
+            if let Ok(at) = store.call(now) {
+                prop_assert!(at >= last && at >= now);
+                (last, n) = (at, n + 1);
+                prop_assert!(n as f64 * slow * 10.0 <= (last + 1) as f64 + 1e-6);
+            }
+        }
+    }
+
+    /// Whatever is struck, each session ends once and the books of the decisions alone keep the rules.
+    #[test]
+    fn every_session_ends_once(seed in 0u64..1000, what in 0usize..6) {
+        let fault = [
+            "what = 'proxy-killed'\nat = '2s'\nfor = '1s'",
+            "what = 'server-silent'\nat = '2s'\nfor = '2s'\nshare = 0.3",
+            "what = 'server-died'\nat = '2s'\nfor = '1s'",
+            "what = 'store-slow'\nat = '2s'\nfor = '2s'\nfactor = 20.0",
+            "what = 'server-drains'\nat = '2s'\nfor = '2s'",
+            "what = 'clients-dropped'\nat = '3s'",
+        ][what];
+        let s = scenario(&format!("length = '6s'\n[[listeners]]\nstanding = 60\n[[faults]]\n{fault}\n"));
+        let run = run(&s, seed);
+        for l in &run.findings.listeners {
+            let ends = l.accepted + l.refused + l.torn_down + l.with_proxy + l.nobody_there + l.open;
+            let without = run.findings.counts().get(&Broken::NoAnswer).copied().unwrap_or(0);
+            prop_assert_eq!(l.opened, ends + without as u64);
+        }
+        prop_assert!(run.findings.breaches.iter().all(|b| b.rule == 0), "{:?}", run.findings.breaches.first());
+    }
+}
+
+#[test]
+fn the_same_seed_writes_the_same_book_to_the_byte() {
+    let s =
+        scenario("length = '5s'\n[[faults]]\nwhat = 'server-silent'\nat = '2s'\nfor = '2s'\nshare = 0.2\n");
+    let (one, two, other) = (run(&s, 3), run(&s, 3), run(&s, 4));
+    assert_eq!(one.book.lines(), two.book.lines());
+    assert_ne!(one.book.lines(), other.book.lines());
+}
+
+#[test]
+fn a_calm_day_is_served_and_clean() {
+    let run = run(&scenario("length = '10s'\n"), 1);
+    clean(&run);
+    assert!(run.service > 0.97, "{}", run.service);
+    assert!(run.findings.listeners[0].accepted > 300);
+}
+
+/// What a killed proxy held is its clients' to try again; the front goes on sending to it for two seconds.
+#[test]
+fn what_a_killed_proxy_held_is_told_apart_from_a_loss() {
+    let run = run(&scenario("length = '8s'\n[[faults]]\nwhat = 'proxy-killed'\nat = '3s'\nfor = '3s'\n"), 1);
+    clean(&run);
+    assert!(run.findings.listeners[0].nobody_there > 10, "{:?}", run.findings.listeners);
+    assert!(run.service > 0.8, "{}", run.service);
+}
+
+/// A server that pauses for longer than a client's patience and then works off what waited: the run is in the
+/// book as late, and no client hears of it.
+#[test]
+fn a_set_up_after_a_pause_runs_late_and_answers_nobody() {
+    let text = "length = '8s'\n[servers.0]\n";
+    assert!(Scenario::read(text).is_err(), "servers are a list");
+    let s = scenario(
+        "length = '8s'\n[[servers]]\ncount = 1\n[rules]\nprobes = false\n[[listeners]]\nkind = 'once-only'\n\
+         dial_timeout = '600ms'\n[[faults]]\nwhat = 'server-paused'\nat = '3s'\nfor = '2s'\n",
+    );
+    let run = run(&s, 1);
+    clean(&run);
+    let l = &run.findings.listeners[0];
+    assert!(l.ran_late > 0 && l.torn_down > 0, "{l:?}");
+}
+
+#[test]
+fn a_cold_server_that_is_rushed_falls_over_once_and_comes_back_cold() {
+    let (mut server, mut store, mut out) = (Server::new(profile()), Store::new(1e6, SECOND), Vec::new());
+    let mut now = SECOND;
+    server.start(now, &mut out);
+    out.clear();
+    // A tenth of two cores is 100 set-ups a second; four times that for a second is the most it bears.
+    for conn in 0..900 {
+        now += 5;
+        server.head(now, conn, conn, 0.0, &mut store, &mut out);
+        server.turn(now, &mut out);
+    }
+    let over = out.iter().filter(|o| matches!(o, Out::Over(ratio) if *ratio > 4.0)).count();
+    assert_eq!((over, server.life()), (1, Life::Dead));
+    server.turn(now + SECOND, &mut out);
+    assert_eq!(server.life(), Life::Up);
+    assert!(server.warmth(now + SECOND) < 0.2);
+    // The same to a warm one is nothing.
+    let (mut warm, mut out) = (Server::new(profile()), Vec::new());
+    (0..900).for_each(|conn| warm.head(SECOND + conn * 5, conn, conn, 0.0, &mut store, &mut out));
+    assert!(!out.iter().any(|o| matches!(o, Out::Over(_))));
+}
+
+#[test]
+fn three_proxies_do_not_rush_a_fresh_server_together() {
+    let s = scenario(
+        "length = '12s'\n[[servers]]\ncount = 4\n[[servers]]\ncount = 1\nlisted = false\n\
+         [[listeners]]\nstanding = 300\nrate = 60.0\n[[faults]]\nwhat = 'servers-join'\nat = '3s'\n",
+    );
+    let run = run(&s, 1);
+    clean(&run);
+}
+
+/// All wrong things are told at once, each with its line.
+#[test]
+fn a_bad_scenario_is_refused_with_line_key_and_reason() {
+    let wrong = |text: &str| -> Vec<String> {
+        Scenario::read(text).unwrap_err().iter().map(ToString::to_string).collect()
+    };
+    for (text, at) in [
+        ("seed = 1\nlenght = '3s'\n", "2: lenght: unknown field"),
+        ("length = '3 weeks'\n", "1: length: \"3 weeks\" is no span"),
+        ("length = '2h'", "1: length:"),
+        ("length = '90m'", "1: length: \"90m\" is over an hour"),
+        ("seed = 1\nseed = 2\n", "2: seed: duplicate key"),
+        ("[proxies]\ncount = 0\n", "2: proxies.count: 0 proxies"),
+        ("[[listeners]]\nname = 'a b'\n", "2: name: \"a b\""),
+        ("[[listeners]]\nname = 'a'\n[[listeners]]\nname = 'a'\n", "4: name: a second listener"),
+        ("[[listeners]]\ndial_timeout = '100ms'\n", "2: dial_timeout: 100ms is under the target, 500ms"),
+        ("[[servers]]\nspeed = -1.0\n", "2: speed: a speed of -1"),
+        ("[[faults]]\nwhat = 'fire'\nat = '1s'\n", "2: what: unknown variant"),
+        ("[[faults]]\nwhat = 'store-slow'\nat = '1s'\nfor = '1s'\n", "1: factor: missing"),
+        ("[[faults]]\nwhat = 'server-died'\nat = '1s'\nwhich = [9]\n", "4: which: 9: there are 6"),
+        ("[[faults]]\nwhat = 'list-lost'\nat = '30s'\nfor = '1s'\n", "3: at: 30s is not before the end"),
+        ("[store]\nrate = nan\n", "2: store.rate: a store of NaN"),
+    ] {
+        let found = wrong(text);
+        assert!(found.iter().any(|f| f.starts_with(at)), "{text:?}: {found:?}");
+    }
+    assert_eq!(wrong("length = '0s'\n[proxies]\ncount = 0\n[must]\nservice = 2.0\n").len(), 3);
+    assert_eq!(Span::read("1.5s"), Ok(Span(15_000)));
+}
