--- a/crates/larkctl/tests/command.rs
+++ b/crates/larkctl/tests/command.rs
@@ -93,3 +93,18 @@
         let _ = std::fs::remove_dir_all(path);
     }
 }
+
+/// As one that is killed for memory: the run ends, and the end of its log is shown.
+#[test]
+fn a_daemon_that_ends_by_itself_is_reported_with_its_log() {
+    let mut kit =
+        larkctl(&["rehearse", "calm"]).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let folder = format!("larklink-rehearsal-{}-", kit.id());
+    assert!(until(|| with(&folder).len() == 3), "three daemons run");
+    let first = Pid::from_raw(with(&folder).into_iter().min().unwrap().cast_signed()).unwrap();
+    kill_process(first, Signal::KILL).unwrap();
+    let mut said = String::new();
+    std::io::Read::read_to_string(&mut kit.stderr.take().unwrap(), &mut said).unwrap();
+    assert_eq!(kit.wait().unwrap().code(), Some(2));
+    assert!(said.contains("larkctl: proxy 0 was killed") && said.contains("INFO server s-0 up"), "{said}");
+}
--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -1,7 +1,7 @@
 //! Connections from clients: each has a task of its own, from its first line to its end.
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,8 +36,6 @@
 /// A connection on which a line has brought nothing back for this long is silent: a sound one brings one back at
 /// once. The 7 s that are allowed count from the last that came, seconds before the line that shows it.
 const SILENCE: Duration = Duration::from_millis(1500);
-/// A write that takes longer than this waits for its client.
-const KEPT: Duration = Duration::from_millis(1);
 /// A connection from before the start is tried again after so long, up to so long.
 const STAND_AGAIN: Duration = Duration::from_millis(250);
 const STAND: Duration = Duration::from_secs(40);
@@ -409,16 +407,21 @@
     }
 
     async fn pass(&self, mut bytes: &[u8]) -> std::io::Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        // At once, as nearly always: then the client has kept nobody.
+        match self.to_client.get_ref().write(bytes) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(e) => return Err(e),
+        }
         let mut to_client = self.to_client;
         while !bytes.is_empty() {
-            let started = Instant::now();
-            self.writing.set(Some(started));
+            self.writing.set(Some(Instant::now()));
             let n = to_client.write(bytes).await?;
             bytes = &bytes[n..];
-            let done = Instant::now();
-            if done - started > KEPT {
-                self.kept.set(Some(done));
-            }
+            self.kept.set(Some(Instant::now()));
         }
         self.writing.set(None);
         Ok(())
--- a/crates/larklink-rehearse/src/discovery.rs
+++ b/crates/larklink-rehearse/src/discovery.rs
@@ -82,7 +82,7 @@
     let weight = stage.scenario.each_server().nth(line.server).map_or(1.0, |s| s.weight);
     serde_json::json!({
         "name": format!("s-{}", line.server), "address": stage.server_at[line.server].to_string(),
-        "zone": "a", "type": "std", "group": 1, "status": line.status.name(), "weight": weight,
+        "zone": stage.scenario.zone(line.server), "type": "std", "group": 1, "status": line.status.name(), "weight": weight,
         "since_ms": stage.since_ms(line.started),
     })
 }
--- a/crates/larklink-rehearse/src/plots.rs
+++ b/crates/larklink-rehearse/src/plots.rs
@@ -21,7 +21,7 @@
     let names: Vec<_> = (0..servers).map(|i| format!("s-{i}")).collect();
     let held = names.iter().enumerate().map(|(i, name)| (name.as_str(), series(&|s| s.held[i] as f64)));
     let plots = [
-        ("Service so far", vec![("service", series(&|s| s.service))]),
+        ("Well served now", vec![("service", series(&|s| s.service))]),
         (
             "Sessions",
             vec![("standing", series(&|s| s.standing as f64)), ("waiting", series(&|s| s.waiting as f64))],
--- a/crates/larklink-rehearse/src/report.rs
+++ b/crates/larklink-rehearse/src/report.rs
@@ -59,7 +59,7 @@
     pub accepted: u64,
     pub refused: u64,
     pub torn_down: u64,
-    /// Well-served seconds so far over those asked of clients that have come so far.
+    /// The share of those who want a session that are well served at this moment, by utility.
     pub service: f64,
     /// Sessions that each server holds.
     pub held: Vec<usize>,
@@ -73,7 +73,7 @@
             standing: world.clients.standing,
             waiting: world.clients.waiting,
             held: world.servers.iter().map(larklink_world::server::Server::held).collect(),
-            service: world.clients.service(),
+            service: world.clients.served_now(at),
             ..Self::default()
         };
         let from = at.saturating_sub(2500);
--- a/crates/larklink-world/src/book.rs
+++ b/crates/larklink-world/src/book.rs
@@ -168,11 +168,18 @@
     pub what: What,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Book {
     pub entries: Vec<Entry>,
 }
 
+impl Default for Book {
+    fn default() -> Self {
+        // Copied as it grows, it would hold the kit up for tens of milliseconds; unwritten room costs nothing.
+        Self { entries: Vec::with_capacity(1 << 20) }
+    }
+}
+
 impl Book {
     pub fn note(&mut self, at: Time, what: What) {
         self.entries.push(Entry { at, what });
--- a/crates/larklink-world/src/faults.rs
+++ b/crates/larklink-world/src/faults.rs
@@ -5,22 +5,21 @@
 
 use crate::scenario::{Fault, Scenario, Trouble};
 
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    Kill {
-        proxy: usize,
-    },
-    Start {
-        proxy: usize,
-    },
+/// What is done to a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upon {
+    Kill,
+    Start,
     /// SIGTERM; it starts again so long after its end.
     Stop {
-        proxy: usize,
         back: Option<Time>,
     },
-    Reload {
-        proxy: usize,
-    },
+    Reload,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Proxy(usize, Upon),
     Silence {
         server: usize,
         until: Time,
@@ -130,11 +129,11 @@
     let (proxy, server) = (which, which);
     match fault.what {
         Trouble::ProxyKilled => {
-            events.push((at, Event::Kill { proxy }));
-            events.extend(lasts.map(|_| (until, Event::Start { proxy })));
+            events.push((at, Event::Proxy(proxy, Upon::Kill)));
+            events.extend(lasts.map(|_| (until, Event::Proxy(proxy, Upon::Start))));
         }
-        Trouble::ProxyStopped => events.push((at, Event::Stop { proxy, back: lasts })),
-        Trouble::ProxyReloaded => events.push((at, Event::Reload { proxy })),
+        Trouble::ProxyStopped => events.push((at, Event::Proxy(proxy, Upon::Stop { back: lasts }))),
+        Trouble::ProxyReloaded => events.push((at, Event::Proxy(proxy, Upon::Reload))),
         Trouble::ServerSilent => events.push((at, Event::Silence { server, until })),
         Trouble::ServerPaused => events.push((at, Event::Pause { server, until })),
         Trouble::ServerDied => {
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -9,6 +9,7 @@
 use crate::audit::{Findings, audit};
 use crate::book::{Answer, Ask, Book, DialEnd, End, What};
 use crate::clients::Act;
+use crate::faults::Upon;
 use crate::list::{Line, Status};
 use crate::scenario::{Kind, Scenario};
 use crate::server::{Conn, Say};
@@ -116,7 +117,7 @@
                    "fall_multiple": some.fall_multiple, "must_ask_in_ns": ns(rules.must_ask_in.0),
                    "overload_for_ns": ns(some.fall_after.0), "start_capacity": some.start_capacity},
         "weights": "nominal",
-        "zones": ["a"],
+        "zones": (0..scenario.proxies.zones).map(|z| scenario.zone(z)).collect::<Vec<_>>(),
     })
 }
 
@@ -176,10 +177,11 @@
         let (version, lines) = self.world.tell(now, proxy, known);
         let scope = if known.is_some() { Scope::Changes } else { Scope::Whole };
         let weights: Vec<f64> = self.scenario.each_server().map(|s| s.weight).collect();
+        let zones = self.scenario.proxies.zones;
         let entry = |line: &Line| Entry {
             server: 0,
             id: line.server as u32 + 1,
-            zone: 0,
+            zone: (line.server % zones) as u16,
             cell: 0,
             state: match line.status {
                 Status::Up => State::Ready,
@@ -215,17 +217,17 @@
                         self.hops.add(now + HOP, Hop::FromServer(server, conn, Say::Cut));
                     }
                 }
-                Deed::Listen { .. } | Deed::Mute { .. } | Deed::Reload { .. } => {}
+                Deed::Listen { .. } | Deed::Mute { .. } | Deed::Proxy(_, Upon::Reload) => {}
                 Deed::Client(act) => self.client(now, act),
                 Deed::Drop(ids) => ids.into_iter().for_each(|id| self.client_gone(now, id)),
-                Deed::Kill { proxy } => self.end_proxy(now, proxy, false),
-                Deed::Stop { proxy, back } => {
+                Deed::Proxy(proxy, Upon::Kill) => self.end_proxy(now, proxy, false),
+                Deed::Proxy(proxy, Upon::Stop { back }) => {
                     self.end_proxy(now, proxy, true);
                     if let Some(back) = back {
                         self.hops.add(now + back, Hop::List(proxy));
                     }
                 }
-                Deed::Start { proxy } => self.start_proxy(now, proxy),
+                Deed::Proxy(proxy, Upon::Start) => self.start_proxy(now, proxy),
                 Deed::ListChanged => {
                     for proxy in 0..self.proxies.len() {
                         self.hops.add(now + HOP, Hop::List(proxy));
@@ -264,7 +266,7 @@
 
     fn client(&mut self, now: Time, act: Act) {
         match act {
-            Act::Open(ask) => match self.world.front.deal(now) {
+            Act::Open(ask) => match self.world.front.deal(now, ask.key) {
                 Some(proxy) => {
                     self.world.book.note(now, What::Opened { ask: ask.clone(), proxy });
                     self.hops.add(now + HOP, Hop::Open(proxy, ask));
--- a/crates/larklink-world/tests/world.rs
+++ b/crates/larklink-world/tests/world.rs
@@ -1,5 +1,6 @@
 //! The world alone, in simulated time: seeded runs that check after every step, and a case for each hard thing.
 use larklink_world::audit::Broken;
+use larklink_world::front::Front;
 use larklink_world::scenario::Scenario;
 use larklink_world::server::{Life, Out, Profile, Say, Server};
 use larklink_world::simulate::{Run, run};
@@ -127,6 +128,23 @@
     assert_ne!(one.book.lines(), other.book.lines());
 }
 
+/// A zone whose only proxy is dead waits until the front has noticed, and then until it is back; the other goes on.
+#[test]
+fn the_front_deals_within_a_zone() {
+    let mut front = Front::new(3, 2, SECOND);
+    assert_eq!(front.deal(0, 0), None, "none has answered yet");
+    (0..3).for_each(|proxy| front.answered(proxy));
+    let dealt: Vec<_> = (0..4).map(|_| front.deal(0, 4)).collect();
+    assert_eq!(dealt, [Some(0), Some(2), Some(0), Some(2)]);
+    front.died(0, 1);
+    assert_eq!((front.deal(SECOND - 1, 5), front.deal(SECOND, 5)), (Some(1), None));
+    front.take_out(0);
+    assert_eq!((front.deal(SECOND, 4), front.deal(SECOND, 4)), (Some(2), Some(2)));
+    let text =
+        "length = '6s'\n[proxies]\ncount = 4\nzones = 2\n[[faults]]\nwhat = 'proxy-killed'\nat = '2s'\n";
+    clean(&run(&scenario(text), 1));
+}
+
 #[test]
 fn a_calm_day_is_served_and_clean() {
     let run = run(&scenario("length = '10s'\n"), 1);
