From reading the change again: one select, one end of a run, a dead deed gone

Need: the kit's carriers wrote the same things twice. Change: the choice between a line and an order is one function in wire.rs; a run's end and the dealing of a session stand in scenario and world; Deed::Mute, which nobody carried out, the copy of the listed servers and a second measuring of a killed daemon are gone. In simulated time a stopped proxy has a hop of its own for its start: before, any change of the list started it, and each killed one too, where a scenario stopped a proxy by plan; a test shows it.

--- a/crates/larkctl/src/rehearse.rs
+++ b/crates/larkctl/src/rehearse.rs
@@ -126,9 +126,14 @@
     })
 }
 
-fn print(report: &Report) {
+fn table_of(header: &[&str]) -> Table {
     let mut table = Table::new();
-    table.load_style(UTF8_HORIZONTAL_ONLY).set_header([
+    table.load_style(UTF8_HORIZONTAL_ONLY).set_header(header.iter().copied());
+    table
+}
+
+fn print(report: &Report) {
+    let mut table = table_of(&[
         "listener",
         "opened",
         "accepted",
@@ -164,16 +169,7 @@
         table.add_row(cells);
     }
     println!("{table}");
-    let mut times = Table::new();
-    times.load_style(UTF8_HORIZONTAL_ONLY).set_header([
-        "milliseconds",
-        "count",
-        "p50",
-        "p99",
-        "p99.9",
-        "max",
-        "late",
-    ]);
+    let mut times = table_of(&["milliseconds", "count", "p50", "p99", "p99.9", "max", "late"]);
     for row in &report.rows {
         for (what, q, late) in [
             ("to the answer", &row.answer_ms, String::new()),
--- a/crates/larklink-rehearse/src/clients.rs
+++ b/crates/larklink-rehearse/src/clients.rs
@@ -9,7 +9,7 @@
 use larklink_world::book::{Answer, Ask, End, What};
 
 use crate::stage::{Order, Stage};
-use crate::wire::{Lines, answer, client_line, numbers, open_line};
+use crate::wire::{Lines, Next, answer, client_line, next, numbers, open_line};
 
 /// After a final answer that ends the session, more is looked for until the end, or for so long.
 const MORE: Duration = Duration::from_millis(400);
@@ -17,10 +17,7 @@
 /// Opens a session, at the proxy that the front deals it to.
 pub fn start(stage: &Rc<Stage>, ask: Ask) {
     let now = stage.now();
-    let Some(proxy) = stage.world.borrow_mut().front.deal(now, ask.key) else {
-        // Nobody is in front: it tries again like one without an answer.
-        return stage.world.borrow_mut().clients.lost(now, ask.id);
-    };
+    let Some(proxy) = stage.world.borrow_mut().deal(now, &ask) else { return };
     let (to, orders) = async_channel::unbounded();
     stage.clients.borrow_mut().insert(ask.id, to);
     let stage = Rc::clone(stage);
@@ -32,22 +29,6 @@
     });
 }
 
-enum Next {
-    Line(std::io::Result<Option<Vec<u8>>>),
-    Order(Order),
-}
-
-async fn next(lines: &mut Lines, orders: &Receiver<Order>) -> Next {
-    let line = async { Next::Line(lines.next().await) };
-    let order = async {
-        match orders.recv().await {
-            Ok(order) => Next::Order(order),
-            Err(_) => futures_lite::future::pending().await,
-        }
-    };
-    line.or(order).await
-}
-
 async fn client(stage: &Rc<Stage>, ask: Ask, proxy: usize, orders: &Receiver<Order>) {
     let (id, listener) = (ask.id, ask.listener);
     let text = open_line(&ask, &stage.scenario.listeners[listener].get_ref().name);
@@ -130,9 +111,8 @@
             Next::Order(Order::Line(number)) => {
                 let now = stage.now();
                 out.push_back((number, now));
-                if lines.say(&client_line(number, now)).await.is_err() {
-                    // How it ended shows on the way back.
-                }
+                // If it cannot be said, how it ended shows on the way back.
+                let _ = lines.say(&client_line(number, now)).await;
             }
             Next::Order(Order::Drop) => return lines.cut(),
             Next::Order(Order::Leave) => return,
--- a/crates/larklink-rehearse/src/daemons.rs
+++ b/crates/larklink-rehearse/src/daemons.rs
@@ -110,7 +110,7 @@
         self.folder.join(format!("proxy-{}.json", self.number))
     }
 
-    pub fn log(&self) -> PathBuf {
+    fn log(&self) -> PathBuf {
         self.folder.join(format!("proxy-{}.log", self.number))
     }
 
@@ -159,6 +159,7 @@
         }
     }
 
+    /// Notes what it used, and kills it if it still runs.
     fn end(&mut self) {
         self.measure();
         self.before = self.now;
@@ -187,12 +188,7 @@
             Some((proxy, Upon::Kill)) => {
                 // First the book: who is cut off by it is to find it there.
                 stage.world.borrow_mut().proxy_gone(stage.now(), proxy, false);
-                let mut slots = slots.borrow_mut();
-                slots[proxy].measure();
-                if let Some(process) = &mut slots[proxy].process {
-                    process.kill();
-                }
-                slots[proxy].end();
+                slots.borrow_mut()[proxy].end();
             }
             Some((proxy, Upon::Start)) => {
                 if let Err(wrong) = start(&stage, &slots, proxy).await {
--- a/crates/larklink-rehearse/src/run.rs
+++ b/crates/larklink-rehearse/src/run.rs
@@ -12,10 +12,8 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use hdrhistogram::Histogram;
-use larklink::types::Time;
 use larklink_world::audit::audit;
 use larklink_world::scenario::Scenario;
-use larklink_world::spans::SECOND;
 use larklink_world::world::World;
 
 use crate::daemons::{self, Slot};
@@ -24,8 +22,6 @@
 use crate::stage::{Parts, Stage, pace};
 use crate::{discovery, servers};
 
-/// What stands may end for so long after the last clients have come.
-const AFTER: Time = SECOND;
 /// The kit's own timer, and by how much it may be late before the run counts for nothing.
 const BEAT: Duration = Duration::from_millis(5);
 const LATE: Duration = Duration::from_millis(20);
@@ -146,7 +142,7 @@
         (addresses.take(servers), addresses.take(count), addresses.take(2 * count));
     let front_at = if options.planted.is_some() { addresses.take(count) } else { proxy_at.clone() };
     let world = World::new(&scenario, options.seed);
-    let listed: Vec<_> = (0..servers).map(|s| world.listed(s)).collect();
+    let listed: Vec<_> = scenario.each_server().map(|s| s.listed).collect();
     let (wake, woken) = async_channel::bounded(1);
     let (to_daemons, orders) = async_channel::unbounded();
     let (listening, heard): (Vec<_>, Vec<_>) = (0..servers).map(|_| async_channel::unbounded()).unzip();
@@ -185,7 +181,7 @@
     stage.spawn(beat(Rc::clone(&late)));
     let samples = Rc::new(RefCell::new(Vec::new()));
     stage.spawn(sample(Rc::clone(&stage), Rc::clone(&samples), options.progress.clone()));
-    let end = stage.scenario.length.0 + AFTER;
+    let end = stage.scenario.end();
     let over = async {
         while stage.now() < end {
             Timer::after(Duration::from_micros((end - stage.now()) * 100)).await;
@@ -208,7 +204,6 @@
     world.clients.finish(now);
     let findings = audit(&stage.scenario, &world.book, end);
     let late = late.borrow();
-    let strain = (late.max() > LATE.as_micros() as u64).then(|| late.max());
     Ok(Report::new(
         &stage.scenario,
         options.seed,
@@ -218,7 +213,7 @@
         usage,
         samples.take(),
         (late.value_at_quantile(0.999), late.max()),
-        strain.is_some(),
+        late.max() > LATE.as_micros() as u64,
     ))
 }
 
--- a/crates/larklink-rehearse/src/servers.rs
+++ b/crates/larklink-rehearse/src/servers.rs
@@ -10,7 +10,7 @@
 use larklink_world::server::{Conn, Say};
 
 use crate::stage::{Listening, Stage};
-use crate::wire::{Lines, head, listen, numbers, server_line};
+use crate::wire::{Lines, Next, head, listen, next, numbers, server_line};
 
 /// Listens while the world's server does.
 pub async fn serve(stage: Rc<Stage>, server: usize, orders: Receiver<Listening>, from_start: bool) {
@@ -37,11 +37,6 @@
     }
 }
 
-enum Next {
-    Line(std::io::Result<Option<Vec<u8>>>),
-    Say(Say),
-}
-
 async fn connection(stage: Rc<Stage>, server: usize, conn: Conn, stream: Async<TcpStream>) {
     let (to, says) = async_channel::unbounded();
     stage.conns.borrow_mut().insert(conn, (server, to));
@@ -75,14 +70,7 @@
 ) -> (Option<u64>, DialEnd) {
     let mut session = None;
     loop {
-        let line = async { Next::Line(lines.next().await) };
-        let say = async {
-            match says.recv().await {
-                Ok(say) => Next::Say(say),
-                Err(_) => futures_lite::future::pending().await,
-            }
-        };
-        match line.or(say).await {
+        match next(lines, says).await {
             Next::Line(Ok(Some(line))) => {
                 let now = stage.now();
                 if let Some(kb) =
@@ -120,7 +108,7 @@
                 stage.stir();
             }
             Next::Line(_) => return (session, DialEnd::GivenUp),
-            Next::Say(say) => {
+            Next::Order(say) => {
                 let now = stage.now();
                 let Some(text) = server_line(&say, conn, now) else { return (session, DialEnd::Cut) };
                 let wrote = lines.say(&text).await;
--- a/crates/larklink-rehearse/src/stage.rs
+++ b/crates/larklink-rehearse/src/stage.rs
@@ -131,8 +131,8 @@
                     }
                 }
                 Deed::Listen { server } => _ = self.listening[server].try_send(Listening::Yes),
-                // The world takes nothing in and says nothing meanwhile.
-                Deed::Mute { .. } | Deed::ListChanged => {}
+                // The agents look by themselves.
+                Deed::ListChanged => {}
                 Deed::Client(Act::Open(ask)) => crate::clients::start(self, ask),
                 Deed::Client(Act::Line { id, number }) => self.order(id, Order::Line(number)),
                 Deed::Client(Act::GiveUp { id } | Act::Leave { id }) => self.order(id, Order::Leave),
--- a/crates/larklink-rehearse/src/wire.rs
+++ b/crates/larklink-rehearse/src/wire.rs
@@ -3,8 +3,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use larklink::types::Time;
 use larklink_world::book::{Answer, Ask};
 use larklink_world::server::{Report, Say};
@@ -54,6 +55,23 @@
     }
 }
 
+/// What comes first on a connection: a line (nothing at its end) or an order from the world.
+pub enum Next<T> {
+    Line(Result<Option<Vec<u8>>>),
+    Order(T),
+}
+
+pub async fn next<T>(lines: &mut Lines, orders: &Receiver<T>) -> Next<T> {
+    let line = async { Next::Line(lines.next().await) };
+    let order = async {
+        match orders.recv().await {
+            Ok(order) => Next::Order(order),
+            Err(_) => future::pending().await,
+        }
+    };
+    line.or(order).await
+}
+
 /// Listens there, also where connections of a listener before are still closing.
 pub fn listen(at: SocketAddr) -> Result<Async<TcpListener>> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
--- a/crates/larklink-world/src/scenario.rs
+++ b/crates/larklink-world/src/scenario.rs
@@ -3,10 +3,11 @@
 use std::fmt;
 use std::ops::Range;
 
+use larklink::types::Time;
 use serde::Deserialize;
 use toml::Spanned;
 
-use crate::spans::Span;
+use crate::spans::{SECOND, Span};
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -348,6 +349,11 @@
         if problems.is_empty() { Ok(scenario) } else { Err(problems) }
     }
 
+    /// When a run ends: what stands may end for a second after the last clients have come.
+    pub fn end(&self) -> Time {
+        self.length.0 + SECOND
+    }
+
     pub fn server_count(&self) -> usize {
         self.servers.iter().map(|s| s.get_ref().count).sum()
     }
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -18,8 +18,6 @@
 
 /// From one end of a connection to the other.
 const HOP: Time = 2;
-/// What stands may end for so long after the last clients have come.
-const AFTER: Time = SECOND;
 /// The decisions' time starts here, so that no server's start lies at 0, which means long ago.
 const ORIGIN: Time = 100 * SECOND;
 
@@ -47,6 +45,7 @@
     Limit(Conn),
     Unmade(Conn),
     List(usize),
+    Start(usize),
     Wakes,
 }
 
@@ -142,7 +141,7 @@
         sim.world.proxy_up(0, proxy);
         sim.hear_list(0, proxy);
     }
-    let end = scenario.length.0 + AFTER;
+    let end = scenario.end();
     let mut now = 0;
     while now <= end {
         while let Some((_, hop)) = sim.hops.pop(now) {
@@ -217,14 +216,14 @@
                         self.hops.add(now + HOP, Hop::FromServer(server, conn, Say::Cut));
                     }
                 }
-                Deed::Listen { .. } | Deed::Mute { .. } | Deed::Proxy(_, Upon::Reload) => {}
+                Deed::Listen { .. } | Deed::Proxy(_, Upon::Reload) => {}
                 Deed::Client(act) => self.client(now, act),
                 Deed::Drop(ids) => ids.into_iter().for_each(|id| self.client_gone(now, id)),
                 Deed::Proxy(proxy, Upon::Kill) => self.end_proxy(now, proxy, false),
                 Deed::Proxy(proxy, Upon::Stop { back }) => {
                     self.end_proxy(now, proxy, true);
                     if let Some(back) = back {
-                        self.hops.add(now + back, Hop::List(proxy));
+                        self.hops.add(now + back, Hop::Start(proxy));
                     }
                 }
                 Deed::Proxy(proxy, Upon::Start) => self.start_proxy(now, proxy),
@@ -266,14 +265,12 @@
 
     fn client(&mut self, now: Time, act: Act) {
         match act {
-            Act::Open(ask) => match self.world.front.deal(now, ask.key) {
-                Some(proxy) => {
+            Act::Open(ask) => {
+                if let Some(proxy) = self.world.deal(now, &ask) {
                     self.world.book.note(now, What::Opened { ask: ask.clone(), proxy });
                     self.hops.add(now + HOP, Hop::Open(proxy, ask));
                 }
-                // Nobody is in: it tries again like one that was not answered.
-                None => self.world.clients.lost(now, ask.id),
-            },
+            }
             Act::Line { id, number } => self.hops.add(now + HOP, Hop::ClientLine(id, number)),
             Act::GiveUp { id } | Act::Leave { id } => self.client_gone(now, id),
             Act::Silent { .. } => {}
@@ -301,7 +298,7 @@
     fn hop(&mut self, now: Time, hop: Hop) {
         match hop {
             Hop::Wakes => (0..self.proxies.len()).for_each(|p| self.hear_list(now, p)),
-            Hop::List(proxy) if !self.proxies[proxy].alive => self.start_if_planned(now, proxy),
+            Hop::Start(proxy) => self.start_proxy(now, proxy),
             Hop::List(proxy) => self.hear_list(now, proxy),
             Hop::Open(proxy, ask) => self.open(now, proxy, ask),
             Hop::ToServer(server, conn) => self.reach_server(now, server, conn),
@@ -320,13 +317,6 @@
         }
     }
 
-    /// A stop's end is modelled at once; its start is the only list word that a dead proxy waits for.
-    fn start_if_planned(&mut self, now: Time, proxy: usize) {
-        if self.scenario.faults.iter().any(|f| f.get_ref().what == crate::scenario::Trouble::ProxyStopped) {
-            self.start_proxy(now, proxy);
-        }
-    }
-
     fn tell_client(&mut self, now: Time, id: u64, told: Told) {
         match told {
             Told::Answer(answer) => self.world.answered(now, id, answer),
--- a/crates/larklink-world/src/world.rs
+++ b/crates/larklink-world/src/world.rs
@@ -3,7 +3,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::book::{Answer, Book, DialEnd, End, Way, What};
+use crate::book::{Answer, Ask, Book, DialEnd, End, Way, What};
 use crate::clients::{Act, Clients};
 use crate::faults::{Band, Event, Upon, timeline};
 use crate::front::Front;
@@ -33,10 +33,6 @@
     Listen {
         server: usize,
     },
-    /// It neither takes connections nor reads.
-    Mute {
-        server: usize,
-    },
     Client(Act),
     /// These clients lose their connections.
     Drop(Vec<u64>),
@@ -54,7 +50,6 @@
     pub book: Book,
     pub bands: Vec<Band>,
     faults: std::iter::Peekable<std::vec::IntoIter<(Time, Event)>>,
-    listed: Vec<bool>,
 }
 
 fn profile(s: &crate::scenario::Servers) -> Profile {
@@ -87,15 +82,13 @@
         let listeners = scenario.listeners.iter().map(|l| l.get_ref().clone()).collect();
         let mut servers: Vec<_> = scenario.each_server().map(|s| Server::new(profile(s))).collect();
         let mut list = List::new(servers.len(), scenario.list.lag.0);
-        let listed: Vec<_> = scenario.each_server().map(|s| s.listed).collect();
-        for (i, _) in listed.iter().enumerate().filter(|(_, listed)| !**listed) {
+        for (i, _) in scenario.each_server().enumerate().filter(|(_, s)| !s.listed) {
             servers[i].die(0, &mut Vec::new());
             list.leave_out(i);
         }
         Self {
             servers,
             list,
-            listed,
             store: Store::new(scenario.store.rate, scenario.store.bound.0),
             clients: Clients::new(listeners, scenario.length.0, chance(2)),
             front: Front::new(scenario.proxies.count, scenario.proxies.zones, scenario.front.notices_after.0),
@@ -105,11 +98,6 @@
         }
     }
 
-    /// Whether that server is there from the start.
-    pub fn listed(&self, server: usize) -> bool {
-        self.listed[server]
-    }
-
     pub fn due(&mut self) -> Time {
         let servers = self.servers.iter().map(Server::due).min().unwrap_or(Time::MAX);
         let fault = self.faults.peek().map_or(Time::MAX, |&(at, _)| at);
@@ -158,7 +146,6 @@
                 if self.servers[server].listens() {
                     self.servers[server].silence(until);
                     self.book.note(now, What::ServerSilent { server, until });
-                    deeds.push(Deed::Mute { server });
                 }
             }
             Event::Pause { server, until } => self.servers[server].pause(until),
@@ -308,6 +295,16 @@
         self.clients.ended(now, id, how);
     }
 
+    /// The proxy to which the front deals a session; where nobody is in front, its client tries again like one
+    /// without an answer.
+    pub fn deal(&mut self, now: Time, ask: &Ask) -> Option<usize> {
+        let proxy = self.front.deal(now, ask.key);
+        if proxy.is_none() {
+            self.clients.lost(now, ask.id);
+        }
+        proxy
+    }
+
     pub fn proxy_up(&mut self, now: Time, proxy: usize) {
         self.front.answered(proxy);
         self.book.note(now, What::ProxyUp { proxy });
--- a/crates/larklink-world/tests/world.rs
+++ b/crates/larklink-world/tests/world.rs
@@ -1,5 +1,6 @@
 //! The world alone, in simulated time: seeded runs that check after every step, and a case for each hard thing.
 use larklink_world::audit::Broken;
+use larklink_world::book::What;
 use larklink_world::front::Front;
 use larklink_world::scenario::Scenario;
 use larklink_world::server::{Life, Out, Profile, Say, Server};
@@ -162,6 +163,22 @@
     assert!(run.service > 0.8, "{}", run.service);
 }
 
+/// Any change of the list started a killed proxy again, where another was stopped by plan.
+#[test]
+fn a_killed_proxy_stays_dead_where_another_is_stopped_and_started() {
+    let s = scenario(
+        "length = '6s'\n[[faults]]\nwhat = 'proxy-killed'\nat = '1s'\nwhich = [1]\n[[faults]]\nwhat = 'proxy-stopped'\n\
+         at = '2s'\nfor = '2s'\n[[faults]]\nwhat = 'server-died'\nat = '2500ms'\n",
+    );
+    let run = run(&s, 1);
+    let ups = run.book.entries.iter().filter_map(|e| match e.what {
+        What::ProxyUp { proxy } if e.at > 0 => Some((proxy, e.at)),
+        _ => None,
+    });
+    assert_eq!(ups.collect::<Vec<_>>(), [(0, 4 * SECOND)]);
+    clean(&run);
+}
+
 /// A server that pauses for longer than a client's patience and then works off what waited: the run is in the
 /// book as late, and no client hears of it.
 #[test]
