An operators' door: /ready and /metrics on an address and a thread of their own

Ruled out: a crash (none), lack of descriptors (138 of 384), processor time (cpu_late 0).

Design: `console` in the file, or ROUTER_CONSOLE, which goes first as it is each process's own. A thread of its own with its own executor reads atomics that the clients' tasks write where a thing happens (`figures`). Not taken: a task beside the clients' (a crowd of thousands of tasks in the same queue stands before the caller, on a fifth of a core); asking the owner of the decisions through its queue (the same, and a full queue would hold the caller). Sixteen callers at once, the oldest gives way to one more, so that callers that stall keep nobody out; its descriptors are reserved. Ready is the first list from discovery since the start, or two seconds without; no from the stop on. What is skipped comes from the module (`Balancer::census`): servers that drain, are silent, or failed more often than not.

Also holds against garbage, endless heads, callers that leave. It may hurt where over sixteen callers come at once.

Tests: the door by calls of every kind and stalled callers; figures against scripted peers at every kind of end.

--- a/crates/larklink-core/src/core.rs
+++ b/crates/larklink-core/src/core.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// How many servers the list has, and how many of them are avoided now.
+    pub fn census(&self) -> (usize, usize) {
+        self.balancer.census()
+    }
+
     pub fn due(&self) -> Time {
         self.balancer.due()
     }
--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -4,6 +4,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -16,6 +17,7 @@
 
 use crate::clock::{span, tenths};
 use crate::events::{Event, Order, Queue};
+use crate::figures::{Answer, Figures};
 use crate::lines::{Head, Inbox, Word, head, with_wait, word};
 use crate::list::server_id;
 use crate::log::Reason;
@@ -48,6 +50,7 @@
 /// What all clients' tasks share.
 pub struct Front {
     pub queue: Queue,
+    pub figures: Arc<Figures>,
     pub listeners: Vec<String>,
     pub connect_timeout: Duration,
     pub passes: bool,
@@ -138,13 +141,15 @@
             }
         });
         match head {
-            Ok(_) if !client.place.seat() => {
+            Ok((_, listener)) if !client.place.seat() => {
+                self.figures.answered(listener, Answer::Refused);
                 busy_at_once(&client.link.stream);
                 (None, Reason::NoRoom)
             }
             Ok((head, listener)) => {
                 self.open.borrow_mut().insert(head.id, head.key);
                 let _named = Named(self, head.id);
+                let _in_progress = self.figures.taken();
                 let session = self.next.get();
                 self.next.set(session.wrapping_add(1));
                 (Some(session), self.session(session, client, &line, head, listener).await)
@@ -190,7 +195,9 @@
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let work = async {
                         Ok(match address {
-                            Some(to) => dial(to, &mut slices, span(limit), self.connect_timeout).await,
+                            Some(to) => {
+                                dial(to, &mut slices, span(limit), self.connect_timeout, &self.figures).await
+                            }
                             None => Err(How::Unmade),
                         })
                     };
@@ -200,12 +207,14 @@
                             self.queue.send(Event::Settled { session, dial: number, how, over: false }).await
                         }
                         Ok(Ok(link)) => {
+                            self.figures.answered(listener, Answer::Accepted);
                             self.queue.send(Event::Stood { session, dial: number }).await;
                             return self.standing(session, number, server, client, link, &orders).await;
                         }
                     }
                 }
                 Ok(Order::Refuse { retry_after }) => {
+                    self.figures.answered(listener, Answer::Refused);
                     match retry_after.div_ceil(10) {
                         0 => answer(client, "BUSY\r\n").await,
                         ms => answer(client, &format!("BUSY {ms}\r\n")).await,
@@ -213,6 +222,7 @@
                     return Reason::Refused;
                 }
                 Ok(Order::TearDown) => {
+                    self.figures.answered(listener, Answer::Failed);
                     answer(client, "ERR\r\n").await;
                     return Reason::TornDown;
                 }
@@ -222,8 +232,14 @@
         };
         self.queue.send(Event::Left { session }).await;
         match reason {
-            Reason::NoRoom => answer(client, "BUSY\r\n").await,
-            Reason::BadLine => answer(client, "ERR\r\n").await,
+            Reason::NoRoom => {
+                self.figures.answered(listener, Answer::Refused);
+                answer(client, "BUSY\r\n").await;
+            }
+            Reason::BadLine => {
+                self.figures.answered(listener, Answer::Failed);
+                answer(client, "ERR\r\n").await;
+            }
             _ => {}
         }
         reason
@@ -239,7 +255,7 @@
         server: u32,
         (sender, orders): (Sender<Order>, Receiver<Order>),
     ) -> Reason {
-        let until = Instant::now() + STAND;
+        let (until, listener) = (Instant::now() + STAND, ask.listener);
         self.queue.send(Event::Stands { session, server, orders: sender }).await;
         let room = client.place.second();
         let work = async {
@@ -248,7 +264,7 @@
             loop {
                 let left = until.saturating_duration_since(Instant::now());
                 let mut slices = [std::io::IoSlice::new(line)];
-                match dial(address, &mut slices, left, self.connect_timeout).await {
+                match dial(address, &mut slices, left, self.connect_timeout, &self.figures).await {
                     Ok(link) => return Some(link),
                     // Once it may have run there, another would be a second copy.
                     Err(how) if !how.never_ran() || left.is_zero() => return None,
@@ -262,11 +278,13 @@
         });
         match stood.await {
             Some(link) => {
+                self.figures.answered(listener, Answer::Accepted);
                 self.queue.send(Event::Adopt { session, ask, server }).await;
                 self.standing(session, 0, server, client, link, &orders).await
             }
             None => {
                 self.queue.send(Event::Left { session }).await;
+                self.figures.answered(listener, Answer::Failed);
                 answer(client, "ERR\r\n").await;
                 Reason::TornDown
             }
--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -14,6 +14,9 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where the operators' door listens; without it there is none. `$ROUTER_CONSOLE` goes before it.
+    #[serde(default)]
+    pub console: Option<SocketAddr>,
     #[serde(deserialize_with = "hex")]
     pub seed: u64,
     #[serde(default)]
@@ -50,4 +53,17 @@
         }
         Ok(config)
     }
+
+    /// The operators' door from the environment goes before that of the file: it is each process's own, where the
+    /// file may be shared by two processes of one proxy. An empty one is as good as none.
+    ///
+    /// # Errors
+    /// It is no address.
+    pub fn with_console(mut self, given: Option<&str>) -> Result<Self, String> {
+        if let Some(text) = given.filter(|text| !text.is_empty()) {
+            let address = text.parse().map_err(|e| format!("ROUTER_CONSOLE: {text:?}: {e}"))?;
+            self.console = Some(address);
+        }
+        Ok(self)
+    }
 }
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -1,7 +1,9 @@
 //! The task that owns the decisions. Socket code reaches them through a [`Queue`] and hears back by orders.
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -14,6 +16,7 @@
 use crate::clock::{Clock, span};
 use crate::delays::Delays;
 use crate::events::{Event, Order, Queue, WAITING};
+use crate::figures::Figures;
 use crate::list::{Endpoint, server_id};
 use crate::probes::Probes;
 
@@ -27,6 +30,9 @@
     orders: HashMap<u32, Sender<Order>>,
     probes: Rc<Probes>,
     executor: Rc<LocalExecutor<'static>>,
+    figures: Arc<Figures>,
+    /// Closes with the first list that discovery sends.
+    fresh: Option<Sender<Infallible>>,
 }
 
 impl Owner {
@@ -36,6 +42,8 @@
         known: Vec<Endpoint>,
         queue: Queue,
         executor: Rc<LocalExecutor<'static>>,
+        figures: Arc<Figures>,
+        fresh: Sender<Infallible>,
     ) -> Self {
         let clock = Clock::start();
         let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
@@ -49,6 +57,8 @@
             orders: HashMap::new(),
             probes: Rc::new(Probes::new(names, connect_timeout, queue)),
             executor,
+            figures,
+            fresh: Some(fresh),
         };
         owner.heard_list(clock.now(), Scope::Cached, known);
         owner
@@ -70,6 +80,8 @@
             for action in self.core.chores(now) {
                 self.act(now, action);
             }
+            let (known, avoided) = self.core.census();
+            self.figures.servers(known, avoided);
         }
     }
 
@@ -108,7 +120,10 @@
                 }
             }
             Event::Probed { server, how, took, report } => self.core.probed(now, server, how, took, &report),
-            Event::List(scope, endpoints) => self.heard_list(now, scope, endpoints),
+            Event::List(scope, endpoints) => {
+                self.heard_list(now, scope, endpoints);
+                self.fresh = None;
+            }
             Event::ListFailed => self.core.list_failed(now),
         }
     }
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod console;
 pub mod decisions;
 pub mod delays;
 pub mod discovery;
 pub mod events;
+pub mod figures;
 pub mod lines;
 pub mod list;
 pub mod log;
--- a/crates/larklink-proxy/src/main.rs
+++ b/crates/larklink-proxy/src/main.rs
@@ -1,15 +1,17 @@
 //! Starts a proxy: `larklink [CONFIG]`, else with the configuration that `ROUTER_CONFIG` names. SIGTERM stops
-//! it.
+//! it. `ROUTER_CONSOLE` names the address of the operators' door, before the one in the configuration.
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_executor::LocalExecutor;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use larklink_proxy::config::Config;
-use larklink_proxy::{log, proxy, reload::Reload};
+use larklink_proxy::figures::Figures;
+use larklink_proxy::{console, log, proxy, reload::Reload};
 use socket2::{Domain, Socket, Type};
 
 /// Connections that the kernel holds until they are taken.
@@ -21,7 +23,9 @@
         eprintln!("usage: larklink CONFIG, or ROUTER_CONFIG in the environment");
         return ExitCode::FAILURE;
     };
-    match Config::read(&path).and_then(|config| start(path, config)) {
+    let console = std::env::var("ROUTER_CONSOLE").ok();
+    let config = Config::read(&path).and_then(|config| config.with_console(console.as_deref()));
+    match config.and_then(|config| start(path, config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
             eprintln!("larklink: {wrong}");
@@ -37,6 +41,11 @@
         Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     tracing::info!(name = config.name, listen = %address, "starts");
+    let figures = Figures::new(&config.settings.listeners);
+    if let Some(at) = config.console {
+        let at = console::open(at, Arc::clone(&figures)).map_err(|e| format!("console {at}: {e}"))?;
+        tracing::info!(console = %at, "operators may call");
+    }
     let executor = Rc::new(LocalExecutor::new());
     let (stop, stopping) = async_channel::bounded(1);
     let (to, moved) = async_channel::bounded(1);
@@ -52,7 +61,7 @@
             }
         })
         .detach();
-    let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor));
+    let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor), figures);
     async_io::block_on(executor.run(run)).map_err(|e| e.to_string())
 }
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -2,6 +2,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
@@ -14,9 +15,11 @@
 use crate::clients::{self, Front};
 use crate::clock::span;
 use crate::config::Config;
+use crate::console;
 use crate::decisions::Owner;
 use crate::discovery;
 use crate::events;
+use crate::figures::Figures;
 use crate::room::Room;
 
 /// Descriptors kept for the listener, discovery, logs and the event loop: so many, two for each server's
@@ -29,6 +32,8 @@
 const STILL_COMING: Duration = Duration::from_millis(600);
 /// The last of them has its answer by the longest dial timeout from then on, as far as that is waited for.
 const LONGEST: Duration = Duration::from_secs(3);
+/// A process counts as ready with the first list from discovery, or after so long without one.
+const FRESH: Duration = Duration::from_secs(2);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Runs a proxy until `stop` closes and it has stopped. `moved` brings each new address of discovery.
@@ -38,19 +43,30 @@
     stop: Receiver<()>,
     moved: Receiver<SocketAddr>,
     executor: Rc<LocalExecutor<'static>>,
+    figures: Arc<Figures>,
 ) -> std::io::Result<()> {
     let listener = Async::new(listener)?;
     let (queue, events) = events::queue();
     let facts = config.settings;
     let known = config.known.endpoints;
-    let reserved = RESERVED + 2 * known.len();
+    let door = if config.console.is_some() { console::DESCRIPTORS } else { 0 };
+    let reserved = RESERVED + door + 2 * known.len();
     // Streams of their own beside the decisions', from the one seed.
     let chance = |stream| {
         let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
         rng.set_stream(stream);
         rng
     };
-    let owner = Owner::new(&facts, config.seed, known, queue.clone(), Rc::clone(&executor));
+    let (fresh, first) = async_channel::bounded(1);
+    let owner = Owner::new(
+        &facts,
+        config.seed,
+        known,
+        queue.clone(),
+        Rc::clone(&executor),
+        Arc::clone(&figures),
+        fresh,
+    );
     executor.spawn(owner.run(events)).detach();
     let must_ask_in = facts.settings.must_ask_in;
     let watch = discovery::follow(config.discovery, moved, must_ask_in, queue.clone(), chance(1));
@@ -58,6 +74,7 @@
     let sockets = config.limits.sockets;
     let front = Rc::new(Front {
         queue,
+        figures: Arc::clone(&figures),
         listeners: facts.listeners,
         connect_timeout: span(facts.settings.connect_timeout),
         passes: facts.passes,
@@ -90,7 +107,20 @@
         }
     };
     let stopped = async {
-        let _ = stop.recv().await;
+        let ready = async {
+            // As fresh as can be had: a silent discovery keeps no process from ever being ready.
+            let waited = async {
+                Timer::after(FRESH).await;
+            };
+            let heard = async {
+                let _ = first.recv().await;
+            };
+            heard.or(waited).await;
+            figures.set_ready(true);
+            future::pending().await
+        };
+        let _ = stop.recv().or(ready).await;
+        figures.set_ready(false);
         front.until();
         Timer::after(STILL_COMING).await;
     };
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 use larklink::types::How;
 
+use crate::figures::Figures;
 use crate::lines::{Inbox, Word, word};
 
 /// Errors that are a want of ours and say nothing of the server: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL and
@@ -91,12 +92,14 @@
     head: &mut [IoSlice<'_>],
     limit: Duration,
     connect_timeout: Duration,
+    figures: &Figures,
 ) -> std::result::Result<Link, How> {
     let until = Instant::now() + limit;
     let mut link = connect(server, connect_timeout.min(limit)).await?;
     let left = until.saturating_duration_since(Instant::now());
     // Until its last byte is written, the server cannot have run it.
     within(left, write_gathered(&link.stream, head)).await.map_err(|_| How::Unmade)?;
+    figures.tried();
     let left = until.saturating_duration_since(Instant::now());
     let line = match within(left, link.line()).await {
         Ok(n) => &link.inbox.bytes()[..n],
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -4,13 +4,14 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use larklink_proxy::{config::Config, proxy};
+use larklink_proxy::{config::Config, figures::Figures, proxy};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -18,6 +19,7 @@
     address: SocketAddr,
     stop: Sender<()>,
     thread: JoinHandle<()>,
+    figures: Arc<Figures>,
 }
 
 /// The program; it goes with the test.
@@ -113,12 +115,14 @@
     let address = listener.local_addr().unwrap();
     let (stop, stopping) = async_channel::bounded(1);
     let (_, moved) = async_channel::bounded(1);
+    let figures = Figures::new(&config.settings.listeners);
+    let counted = Arc::clone(&figures);
     let thread = thread::spawn(move || {
         let executor = Rc::new(LocalExecutor::new());
-        let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor));
+        let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor), counted);
         async_io::block_on(executor.run(run)).unwrap();
     });
-    Proxy { address, stop, thread }
+    Proxy { address, stop, thread, figures }
 }
 
 fn config(servers: &[SocketAddr], agent: SocketAddr, mode: &str, sockets: usize) -> String {
@@ -485,8 +489,11 @@
     told(&mut watch, "{]");
     let mut watch = Peer::accept(&agent);
     assert_eq!(asked(&mut watch), "/api/targets");
+    assert!(!proxy.figures.is_ready());
     told(&mut watch, &list(41, true, &[endpoint("s-1", at, "up")]));
     assert!(asked(&mut watch).starts_with("/api/targets?after=41&wait_ms="));
+    figures_become(&proxy, [0, 0, 0, 0, 0, 0, 0, 0, 1]);
+    becomes(|| proxy.figures.is_ready());
     let (mut client, mut server) = standing(proxy.address, &listener);
     server.say("one\r\nhalf of two");
     assert_eq!(client.hear(), "one\r\n");
@@ -611,3 +618,73 @@
     standing(address, &second);
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Waits until the figures are these, in the order in which they are told without their names.
+fn figures_become(proxy: &Proxy, want: [u32; 9]) {
+    let figure = |line: &str| line.rsplit_once('=').unwrap().1.parse::<u32>().unwrap();
+    becomes(|| proxy.figures.text().lines().map(figure).take(9).eq(want));
+}
+
+/// Waits until it is so.
+fn becomes(so: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !so() {
+        assert!(Instant::now() < until, "it does not become so");
+        thread::yield_now();
+    }
+}
+
+/// One of each kind of end, against what the servers and clients of this test saw: for each listener accepted,
+/// refused, failed; then tries, sessions in progress, servers.
+#[test]
+fn figures_are_what_peers_saw_whatever_the_end() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    figures_become(&proxy, [0, 0, 0, 0, 0, 0, 0, 0, 1]);
+    let mut mute = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(mute.hear(), "PONG\r\n");
+    let (client, mut server) = standing(proxy.address, &listener);
+    figures_become(&proxy, [1, 0, 0, 0, 0, 0, 1, 1, 1]);
+    drop(client);
+    server.ends();
+    figures_become(&proxy, [1, 0, 0, 0, 0, 0, 1, 0, 1]);
+    // A server that resets a session that stands, and one that ends it.
+    let (mut client, server) = standing(proxy.address, &listener);
+    server.reset();
+    client.breaks();
+    let (mut client, mut server) = standing(proxy.address, &listener);
+    server.say("BYE\r\n");
+    assert_eq!(client.hear(), "BYE\r\n");
+    client.ends();
+    figures_become(&proxy, [3, 0, 0, 0, 0, 0, 3, 0, 1]);
+    // Turned away where it runs out of servers; failed where it may have run.
+    let mut client = Peer::connect(proxy.address, &open("c=chat,d=2000"));
+    for _ in 0..2 {
+        let mut server = Peer::accept(&listener);
+        server.hear();
+        server.say("BUSY\r\n");
+        server.ends();
+    }
+    assert!(client.hear().starts_with("BUSY"));
+    let mut client = Peer::connect(proxy.address, &open("c=pay,d=2000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    drop(server);
+    assert_eq!(client.hear(), "ERR\r\n");
+    figures_become(&proxy, [3, 1, 0, 0, 0, 1, 6, 0, 1]);
+    // One that leaves before its answer is none of the three.
+    let client = Peer::connect(proxy.address, &open("c=chat,d=2000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    figures_become(&proxy, [3, 1, 0, 0, 0, 1, 7, 1, 1]);
+    drop(client);
+    server.ends();
+    figures_become(&proxy, [3, 1, 0, 0, 0, 1, 7, 0, 1]);
+    // At a stop it says no, and what it held is counted out as it is moved.
+    let (mut client, _server) = standing(proxy.address, &listener);
+    proxy.stop.close();
+    assert_eq!(client.hear(), "MOVE\r\n");
+    client.ends();
+    figures_become(&proxy, [4, 1, 0, 0, 0, 1, 8, 0, 1]);
+    assert!(!proxy.figures.is_ready());
+}
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -415,6 +415,14 @@
         s.ended(now, how, true);
     }
 
+    /// How many servers the list has, and how many of them are avoided now: they drain, are silent, or have failed
+    /// more often than not.
+    pub fn census(&self) -> (usize, usize) {
+        let listed = self.servers.iter().filter(|s| s.entry.state != State::Gone);
+        let avoided = |s: &&Server| !s.ready() || s.misses >= SILENT || s.bad > s.good;
+        (listed.clone().count(), listed.filter(avoided).count())
+    }
+
     /// When [`Balancer::chores`] wants to be called next.
     pub fn due(&self) -> Time {
         self.next_ask.min(self.next_round)
