A new process takes over the listening socket and the sessions that stand

The loss was the end of the old process (`clients.rs`, `told`: where packets pass through, sessions stayed until the exit broke them).

Design: the processes meet at a Unix socket in $TMPDIR. The old one hands over its listening socket, so that nothing in its queue is lost; the new one asks for it once it could serve (first list, or two seconds), and only one of the two takes connections at a time, so cold shares and set-up windows hold for both. At its stop the old one gives each session that stands away, with both connections, what was read and not passed on, its first line, its last load. Descriptors count for both: each tells the other what it holds, guests give way first.

Also holds against: a new process that dies before or after it is ready, never gets ready, or comes while another does; an old one that stops first, hangs, or speaks another version. It may hurt if a new process dies within milliseconds of the old one's stop.

Tests with real daemons: ten replacements under load in both modes, each kind of death, nonsense from either side. The test of a new one that dies found that its place stayed in the way of the next: the old one opens its own again.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -18,6 +18,8 @@
 use crate::clock::{span, tenths};
 use crate::events::{Event, Order, Queue};
 use crate::figures::{Answer, Figures};
+use crate::handover::wire::Standing;
+use crate::handover::{Given, Heir};
 use crate::lines::{Head, Inbox, Word, head, with_wait, word};
 use crate::list::server_id;
 use crate::log::Reason;
@@ -41,6 +43,8 @@
 /// A connection from before the start is tried again after so long, up to so long.
 const STAND_AGAIN: Duration = Duration::from_millis(250);
 const STAND: Duration = Duration::from_secs(40);
+/// How often a session that waits for its stop looks for a new process.
+const LOOK: Duration = Duration::from_millis(20);
 /// Lines on their way to a server and back that are timed.
 const TIMED: usize = 8;
 /// At a stop, clients are moved within this share of the time that is left, spread by chance so that they do
@@ -63,6 +67,7 @@
     pub room: Rc<Room>,
     /// The ids of the sessions that are open here, and their clients' keys.
     pub open: RefCell<HashMap<u64, u64>>,
+    pub heir: Rc<Heir>,
 }
 
 struct Client {
@@ -87,6 +92,22 @@
     log_end(session, reason, started);
 }
 
+/// Goes on with a session that stands, given by the process before this one.
+pub async fn inherit(front: Rc<Front>, (mut was, client, server): Given) {
+    let started = Instant::now();
+    let link = |stream, bytes: &mut Vec<u8>| {
+        let inbox = Inbox::holding(std::mem::take(bytes))?;
+        Some(Link { inbox, stream: Async::new(stream).ok()? })
+    };
+    let (Some(client), Some(link)) = (link(client, &mut was.to_server), link(server, &mut was.to_client))
+    else {
+        return tracing::warn!("a session was given that cannot go on");
+    };
+    let mut client = Client { link: client, place: front.room.inherit() };
+    let (session, reason) = front.inherit(&was, &mut client, link).await;
+    log_end(session, reason, started);
+}
+
 /// Refuses a connection for which there is no descriptor. Nobody's dial has run: trying again is harmless.
 pub fn turn_away(stream: &Async<TcpStream>) {
     busy_at_once(stream);
@@ -150,8 +171,7 @@
                 self.open.borrow_mut().insert(head.id, head.key);
                 let _named = Named(self, head.id);
                 let _in_progress = self.figures.taken();
-                let session = self.next.get();
-                self.next.set(session.wrapping_add(1));
+                let session = self.number();
                 (Some(session), self.session(session, client, &line, head, listener).await)
             }
             Err(wrong) => {
@@ -170,19 +190,10 @@
         head: Head<'_>,
         listener: usize,
     ) -> Reason {
-        let ask = Session {
-            listener,
-            group_key: head.group,
-            client_key: head.key,
-            patience: head.wait_ms.saturating_mul(10),
-            mid_flow: head.mid_flow,
-            again: head.again,
-            retry: head.retry,
-        };
+        let ask = asks(&head, listener);
         let (sender, orders) = async_channel::bounded(4);
         if let Some(at) = head.at {
-            let server = server_id(at);
-            return self.stand(session, client, line, ask, server, (sender, orders)).await;
+            return self.stand(session, client, line, ask, server_id(at), (sender, orders)).await;
         }
         self.queue.send(Event::Open { session, ask, orders: sender }).await;
         let reason = loop {
@@ -209,7 +220,15 @@
                         Ok(Ok(link)) => {
                             self.figures.answered(listener, Answer::Accepted);
                             self.queue.send(Event::Stood { session, dial: number }).await;
-                            return self.standing(session, number, server, client, link, &orders).await;
+                            let at = Stands {
+                                session,
+                                dial: number,
+                                server,
+                                head: line,
+                                unanswered: 0,
+                                load: None,
+                            };
+                            return self.standing(at, client, link, &orders).await;
                         }
                     }
                 }
@@ -245,6 +264,33 @@
         reason
     }
 
+    async fn inherit(&self, was: &Standing, client: &mut Client, link: Link) -> (Option<u32>, Reason) {
+        let line = was.head.as_bytes();
+        let listener = |h: &Head<'_>| self.listeners.iter().position(|l| l == h.listener);
+        let Some((head, listener)) = head(line).ok().and_then(|h| listener(&h).map(|l| (h, l))) else {
+            tracing::warn!("a session without a first line was given");
+            return (None, Reason::BadLine);
+        };
+        let ask = asks(&head, listener);
+        self.open.borrow_mut().insert(head.id, head.key);
+        let _named = Named(self, head.id);
+        let _in_progress = self.figures.taken();
+        let session = self.number();
+        let (sender, orders) = async_channel::bounded(4);
+        let server = was.server;
+        self.queue.send(Event::Stands { session, server, orders: sender }).await;
+        self.queue.send(Event::Adopt { session, ask, server }).await;
+        if let Some(load) = was.load {
+            self.queue.send(Event::Noted { session, dial: 0, note: Note::Load(load) }).await;
+        }
+        let at = Stands { session, dial: 0, server, head: line, unanswered: was.unanswered, load: was.load };
+        (Some(session), self.standing(at, client, link, &orders).await)
+    }
+
+    fn number(&self) -> u32 {
+        self.next.replace(self.next.get().wrapping_add(1))
+    }
+
     /// A connection that stood at a server before the run goes there again.
     async fn stand(
         &self,
@@ -280,7 +326,8 @@
             Some(link) => {
                 self.figures.answered(listener, Answer::Accepted);
                 self.queue.send(Event::Adopt { session, ask, server }).await;
-                self.standing(session, 0, server, client, link, &orders).await
+                let at = Stands { session, dial: 0, server, head: line, unanswered: 0, load: None };
+                self.standing(at, client, link, &orders).await
             }
             None => {
                 self.queue.send(Event::Left { session }).await;
@@ -294,27 +341,49 @@
     /// An accepted session: passes lines both ways until one side ends or it is to move.
     async fn standing(
         &self,
-        session: u32,
-        dial: u8,
-        server: u32,
+        at: Stands<'_>,
         client: &mut Client,
         mut link: Link,
         orders: &Receiver<Order>,
     ) -> Reason {
+        let Stands { session, dial, .. } = at;
         let pipe = Pipe {
             front: self,
             session,
             dial,
-            server,
+            server: at.server,
             to_client: &client.link.stream,
             to_server: &link.stream,
             writing: Cell::default(),
             kept: Cell::default(),
-            sent: RefCell::default(),
+            // Of those that were under way when it was given, silence counts from here.
+            sent: VecDeque::from(vec![Instant::now(); at.unanswered.min(TIMED)]).into(),
             told: Cell::default(),
+            passed: Cell::default(),
+            ending: Cell::default(),
+            load: Cell::new(at.load),
+            alone: Cell::default(),
+        };
+        let (reason, how) = loop {
+            let (up, down) = (&mut client.link.inbox, &mut link.inbox);
+            let end = pipe.up(up).or(pipe.down(down)).or(pipe.told(orders)).await;
+            if end.0 != Reason::HandedOver {
+                break end;
+            }
+            let session = Standing {
+                head: String::from_utf8_lossy(at.head).into_owned(),
+                server: at.server,
+                to_server: client.link.inbox.bytes().to_vec(),
+                to_client: link.inbox.bytes()[pipe.passed.get()..].to_vec(),
+                unanswered: pipe.sent.borrow().len(),
+                load: pipe.load.get(),
+            };
+            if self.heir.give(session, pipe.to_client.get_ref(), pipe.to_server.get_ref()).await {
+                break end;
+            }
+            // The new process is gone: this one ends the session as if there had been none.
+            pipe.alone.set(true);
         };
-        let (reason, how) =
-            pipe.up(&mut client.link.inbox).or(pipe.down(&mut link.inbox)).or(pipe.told(orders)).await;
         let event = match how {
             Some(how) => Event::Settled { session, dial, how, over: true },
             None => Event::Left { session },
@@ -325,6 +394,8 @@
             Reason::ClientReset => reset(&link.stream),
             Reason::ClientLeft => close(&link).await,
             Reason::ServerReset => reset(&client.link.stream),
+            // Both connections go on in the new process.
+            Reason::HandedOver => {}
             _ => {
                 drop(link);
                 client.place.spoke();
@@ -335,6 +406,16 @@
     }
 }
 
+/// An accepted session, and where it stands.
+struct Stands<'a> {
+    session: u32,
+    dial: u8,
+    server: u32,
+    head: &'a [u8],
+    unanswered: usize,
+    load: Option<f64>,
+}
+
 /// Why an accepted session ended, and how for its server; nothing if that was the client's doing or ours.
 type End = (Reason, Option<How>);
 
@@ -353,20 +434,29 @@
     sent: RefCell<VecDeque<Instant>>,
     /// The latest of those that the decisions were told of.
     told: Cell<Option<Instant>>,
+    /// Bytes from the server that are with the client and still in the inbox.
+    passed: Cell<usize>,
+    /// The server has said its last.
+    ending: Cell<bool>,
+    /// The load that was last told.
+    load: Cell<Option<f64>>,
+    /// There is no new process to give it to.
+    alone: Cell<bool>,
 }
 
 impl Pipe<'_> {
     /// From the client to its server, byte for byte.
     async fn up(&self, inbox: &mut Inbox) -> End {
         loop {
-            let n = inbox.bytes().len();
-            if n > 0 {
-                let lines = inbox.bytes().iter().filter(|&&b| b == b'\n').count();
+            // Each part is taken out once it is written: this may end at any wait, and the rest goes on elsewhere.
+            while !inbox.bytes().is_empty() {
                 let mut to_server = self.to_server;
-                if to_server.write_all(inbox.bytes()).await.is_err() {
+                let n = match to_server.write(inbox.bytes()).await {
+                    Ok(n) if n > 0 => n,
                     // What the server has still to say, and how it ended, shows on the way down.
-                    return future::pending().await;
-                }
+                    _ => return future::pending().await,
+                };
+                let lines = inbox.bytes()[..n].iter().filter(|&&b| b == b'\n').count();
                 inbox.consume(n);
                 // Counted from here, so that our own queues are no part of what a message takes.
                 let mut sent = self.sent.borrow_mut();
@@ -396,8 +486,10 @@
                 }
                 for line in inbox.bytes()[..n].split_inclusive(|&b| b == b'\n') {
                     last = self.read_line(line, now).await;
+                    self.ending.set(last.is_some());
                 }
                 inbox.consume(n);
+                self.passed.set(0);
             }
             if inbox.is_full() {
                 return (Reason::BadLine, Some(How::Error));
@@ -424,13 +516,18 @@
         }
     }
 
-    async fn pass(&self, mut bytes: &[u8]) -> std::io::Result<()> {
+    async fn pass(&self, bytes: &[u8]) -> std::io::Result<()> {
+        let mut bytes = &bytes[self.passed.get().min(bytes.len())..];
         if bytes.is_empty() {
             return Ok(());
         }
+        let passed = |n| self.passed.set(self.passed.get() + n);
         // At once, as nearly always: then the client has kept nobody.
         match self.to_client.get_ref().write(bytes) {
-            Ok(n) => bytes = &bytes[n..],
+            Ok(n) => {
+                bytes = &bytes[n..];
+                passed(n);
+            }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
             Err(e) => return Err(e),
         }
@@ -439,6 +536,7 @@
             self.writing.set(Some(Instant::now()));
             let n = to_client.write(bytes).await?;
             bytes = &bytes[n..];
+            passed(n);
             self.kept.set(Some(Instant::now()));
         }
         self.writing.set(None);
@@ -453,6 +551,7 @@
             Word::Move => return Some(How::CalledOff),
             Word::Up => {}
             Word::Load(load) => {
+                self.load.set(Some(load));
                 self.front.queue.send(Event::Noted { session, dial, note: Note::Load(load) }).await
             }
             _ => {
@@ -478,17 +577,23 @@
             future::pending().await
         };
         let stop = async {
-            if self.front.passes {
-                return future::pending().await;
-            }
             let _ = self.front.stop.recv().await;
             let left = self.front.until().saturating_duration_since(Instant::now());
             let share = self.front.chance.borrow_mut().random_range(0.0..MOVED_BY);
-            Timer::after(left.mul_f64(share)).await;
+            let at = Instant::now() + left.mul_f64(share);
+            // A new process may come to be the heir only now.
+            while self.front.passes || Instant::now() < at {
+                if self.front.heir.is_there() && !self.alone.get() && !self.ending.get() {
+                    return Reason::HandedOver;
+                }
+                Timer::after(LOOK).await;
+            }
             Reason::Stopped
         };
-        let reason = order.or(stop).await;
-        (self.send_away(reason).await, None)
+        match order.or(stop).await {
+            Reason::HandedOver => (Reason::HandedOver, None),
+            reason => (self.send_away(reason).await, None),
+        }
     }
 
     /// A server that takes lines and brings nothing back is told of, and in the end keeps nobody. While the
@@ -537,6 +642,18 @@
     }
 }
 
+fn asks(head: &Head<'_>, listener: usize) -> Session {
+    Session {
+        listener,
+        group_key: head.group,
+        client_key: head.key,
+        patience: head.wait_ms.saturating_mul(10),
+        mid_flow: head.mid_flow,
+        again: head.again,
+        retry: head.retry,
+    }
+}
+
 /// Answers probes until there is another line; or says how it ended.
 async fn first_line(client: &mut Client) -> Result<Vec<u8>, Reason> {
     let mut pinged = false;
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -1,5 +1,5 @@
 //! The task that owns the decisions. Socket code reaches them through a [`Queue`] and hears back by orders.
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +26,8 @@
     zones: Vec<String>,
     delays: Option<Delays>,
     addresses: HashMap<u32, SocketAddr>,
+    /// The list as it stands.
+    listed: BTreeMap<u32, Endpoint>,
     /// Where the orders of each session go.
     orders: HashMap<u32, Sender<Order>>,
     probes: Rc<Probes>,
@@ -54,6 +56,7 @@
             zones: facts.zones.clone(),
             delays: facts.tells_delay.then(|| Delays::new(facts.settings.message_target)),
             addresses: HashMap::new(),
+            listed: BTreeMap::new(),
             orders: HashMap::new(),
             probes: Rc::new(Probes::new(names, connect_timeout, queue)),
             executor,
@@ -124,11 +127,15 @@
                 self.heard_list(now, scope, endpoints);
                 self.fresh = None;
             }
+            Event::Listed(to) => _ = to.try_send(self.listed.values().cloned().collect()),
             Event::ListFailed => self.core.list_failed(now),
         }
     }
 
     fn heard_list(&mut self, now: Time, scope: Scope, endpoints: Vec<Endpoint>) {
+        if scope != Scope::Changes {
+            self.listed.clear();
+        }
         for e in &endpoints {
             let id = server_id(&e.name);
             match e.address.parse() {
@@ -140,6 +147,9 @@
             }
             if e.status == "removed" {
                 self.probes.forget(id);
+                self.listed.remove(&id);
+            } else {
+                self.listed.insert(id, e.clone());
             }
             tracing::info!("server {} {} is {:08x}, since {}", e.name, e.status, id, e.since_ms);
         }
--- a/crates/larklink-proxy/src/events.rs
+++ b/crates/larklink-proxy/src/events.rs
@@ -61,6 +61,8 @@
     },
     List(Scope, Vec<Endpoint>),
     ListFailed,
+    /// Asks for the list as it stands.
+    Listed(Sender<Vec<Endpoint>>),
 }
 
 /// What a session's task is to do.
--- /dev/null
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -0,0 +1,275 @@
+//! One process of a proxy takes over from another: the new one finds the old one by a socket in `$TMPDIR`, is given
+//! the listening socket itself, so that no connection in its queue is lost, and the list of servers. Only one of the
+//! two takes connections at a time. When the old one is asked to stop, it gives the sessions that stand away too, each
+//! with its two connections, which go on unbroken.
+//!
+//! A new one that goes before its old one was stopped has given everything back; an old one that goes has left
+//! everything to the new one.
+pub mod wire;
+
+use std::cell::RefCell;
+use std::io::Result;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{FutureExt, future};
+
+use crate::config::Config;
+use crate::events::{Event, Queue};
+use crate::list::Endpoint;
+use crate::room::Room;
+use crate::servers::within;
+use wire::{Ear, Mouth, OWED, Standing, VERSION, Word, bad, talk};
+
+/// How often an old process looks at what it still holds.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Where the processes of a proxy meet; nowhere unless the operators' door is on, since only then may there be two.
+pub fn place(config: &Config, folder: Option<PathBuf>) -> Option<PathBuf> {
+    config.console?;
+    let address = config.listen.to_string().replace([':', '[', ']'], "-");
+    Some(folder?.join(format!("larklink-{address}")))
+}
+
+/// The process that serves already, and the list of servers as it has it.
+pub struct Old {
+    ear: Ear,
+    mouth: Rc<Mouth>,
+    pub list: Vec<Endpoint>,
+}
+
+/// Looks for a process that serves already.
+///
+/// # Errors
+/// There is somebody, who does not speak as one should in time.
+pub async fn meet(at: &Path) -> Result<Option<(TcpListener, Old)>> {
+    let Ok(stream) = UnixStream::connect(at) else { return Ok(None) };
+    let (mut ear, mouth) = talk(Async::new(stream)?);
+    match within(OWED, ear.hear()).await? {
+        Word::Offer { list, .. } => Ok(Some((ear.beside()?.into(), Old { ear, mouth, list }))),
+        other => Err(bad(format!("no offer but {other:?}"))),
+    }
+}
+
+/// A session that an old process gave, with its client's connection and its server's.
+pub type Given = (Standing, TcpStream, TcpStream);
+
+/// The new process to which the sessions go that stand, once this one is asked to stop.
+#[derive(Default)]
+pub struct Heir(RefCell<Option<Rc<Mouth>>>);
+
+impl Heir {
+    pub fn is_there(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
+    /// Gives a session away: whether it has another owner now.
+    pub async fn give(&self, session: Standing, client: &TcpStream, server: &TcpStream) -> bool {
+        let Some(mouth) = self.0.borrow().clone() else { return false };
+        mouth.say(&Word::Session(session), &[client.as_fd(), server.as_fd()]).await.is_ok()
+    }
+}
+
+/// What both sides of a handover need of their process.
+pub struct Handover {
+    pub place: PathBuf,
+    pub room: Rc<Room>,
+    /// Descriptors that each process holds beside its room's.
+    pub reserved: usize,
+    pub queue: Queue,
+    /// Whether this process takes connections; each change is told here.
+    pub taking: Sender<bool>,
+    /// Closes when this process is to stop.
+    pub stop: Receiver<()>,
+    /// The listening socket, until this process takes no more connections.
+    pub listener: RefCell<Option<TcpListener>>,
+    pub heir: Rc<Heir>,
+    /// An heir has gone before this process was to stop.
+    pub lost: (Sender<()>, Receiver<()>),
+    /// Takes the sessions that an old process gives.
+    pub given: Sender<Given>,
+}
+
+impl Handover {
+    /// Takes over from an old process once `fresh` resolves, or when that one stops or goes before.
+    pub async fn take(&self, mut old: Old, fresh: impl Future<Output = ()>) -> Old {
+        let goes = async {
+            // It owes no word yet but that it stops.
+            let _ = old.ear.hear().await;
+        };
+        fresh.or(goes).await;
+        loop {
+            match self.ask(&mut old).await {
+                Ok(true) => break,
+                // Another process was faster: that one is the old one now, once it can be met.
+                Ok(false) => match meet(&self.place).await {
+                    Ok(Some((_, next))) => old = next,
+                    _ => _ = Timer::after(LOOK).await,
+                },
+                Err(e) => {
+                    tracing::info!("the process before is gone: {e}");
+                    break;
+                }
+            }
+        }
+        let _ = self.taking.send(true).await;
+        tracing::info!("takes the connections over");
+        old
+    }
+
+    /// Whether it was given what it asks for.
+    async fn ask(&self, old: &mut Old) -> Result<bool> {
+        old.mouth.say(&Word::Take, &[]).await?;
+        let answer = async {
+            loop {
+                match old.ear.hear().await? {
+                    Word::Yours { held } => break Ok(Some(held)),
+                    Word::Taken => break Ok(None),
+                    _ => {}
+                }
+            }
+        };
+        let held = within(OWED, answer).await?;
+        held.into_iter().for_each(|held| self.room.leave_to(held));
+        Ok(held.is_some())
+    }
+
+    /// Goes by what an old process says that it holds, and takes the sessions that it gives, until that has ended.
+    pub async fn follow(&self, mut old: Old) {
+        let mut sessions = 0;
+        let ended = loop {
+            match old.ear.hear().await {
+                Ok(Word::Held { held }) => self.room.leave_to(held),
+                Ok(Word::Session(session)) => match (old.ear.beside(), old.ear.beside()) {
+                    (Ok(client), Ok(server)) => {
+                        sessions += 1;
+                        let _ = self.given.send((session, client.into(), server.into())).await;
+                    }
+                    (Err(e), _) | (_, Err(e)) => break e,
+                },
+                Ok(_) => {}
+                Err(e) => break e,
+            }
+        };
+        tracing::info!(sessions, "the process before has ended: {ended}");
+        self.room.leave_to(0);
+    }
+
+    /// Opens the place where a new process meets this one.
+    ///
+    /// # Errors
+    /// There is no such place to be had.
+    pub fn open(&self) -> Result<Async<UnixListener>> {
+        // By another name first: who looks for a process finds the old one or this one, whole.
+        let own = self.place.with_extension(std::process::id().to_string());
+        let socket = Async::<UnixListener>::bind(&own)?;
+        std::fs::rename(&own, &self.place)?;
+        Ok(socket)
+    }
+
+    /// Offers all to a new process, whenever one comes, as long as this one runs.
+    ///
+    /// # Errors
+    /// None can be met any more.
+    pub async fn offer(
+        self: Rc<Self>,
+        mut place: Async<UnixListener>,
+        executor: &LocalExecutor<'static>,
+    ) -> Result<()> {
+        loop {
+            let comes = async { place.accept().await.map(|(stream, _)| Some(stream)) };
+            let lost = async {
+                let _ = self.lost.1.recv().await;
+                Ok(None)
+            };
+            let Some(stream) = comes.or(lost).await? else {
+                // The one that has gone had put its own in the place of ours.
+                place = self.open()?;
+                continue;
+            };
+            let this = Rc::clone(&self);
+            executor.spawn(async move { this.serve(stream).await }).detach();
+        }
+    }
+
+    async fn serve(&self, stream: Async<UnixStream>) {
+        // The new one holds descriptors from its start on.
+        self.room.leave_to(self.reserved);
+        let (mut ear, mouth) = talk(stream);
+        if let Err(e) = self.converse(&mut ear, &mouth).await {
+            tracing::info!("the new process is gone: {e}");
+        }
+        let heir = self.heir.0.borrow().clone();
+        let mine = heir.is_some_and(|heir| Rc::ptr_eq(&heir, &mouth));
+        if mine {
+            self.heir.0.take();
+        }
+        if !self.heir.is_there() {
+            self.room.leave_to(0);
+        }
+        if mine && !self.stop.is_closed() {
+            tracing::warn!("a process that had taken over is gone: takes connections again");
+            let _ = self.lost.0.try_send(());
+            let _ = self.taking.send(true).await;
+        }
+    }
+
+    async fn converse(&self, ear: &mut Ear, mouth: &Rc<Mouth>) -> Result<()> {
+        enum Step {
+            Heard(Word),
+            Look,
+            Stop,
+        }
+        let (list, asked) = async_channel::bounded(1);
+        self.queue.send(Event::Listed(list)).await;
+        let list = asked.recv().await.unwrap_or_default();
+        {
+            let listener = self.listener.borrow().as_ref().map(TcpListener::try_clone).transpose()?;
+            let listener = listener.ok_or_else(|| bad("no more connections are taken"))?;
+            mouth.say(&Word::Offer { version: VERSION, list }, &[listener.as_fd()]).await?;
+        }
+        let (mut last, mut mine, mut stops) = (0, false, false);
+        loop {
+            let heard = async { ear.hear().await.map(Step::Heard) };
+            let look = async {
+                Timer::after(LOOK).await;
+                Ok(Step::Look)
+            };
+            let stop = async {
+                if stops {
+                    return future::pending().await;
+                }
+                let _ = self.stop.recv().await;
+                Ok(Step::Stop)
+            };
+            let held = || self.reserved + self.room.held();
+            match heard.or(stop).or(look).await? {
+                Step::Heard(Word::Take) if self.heir.is_there() => return mouth.say(&Word::Taken, &[]).await,
+                Step::Heard(Word::Take) => {
+                    tracing::info!("gives the connections to a new process");
+                    let _ = self.taking.send(false).await;
+                    (mine, last) = (true, held());
+                    self.heir.0.replace(Some(Rc::clone(mouth)));
+                    mouth.say(&Word::Yours { held: last }, &[]).await?;
+                }
+                Step::Heard(other) => return Err(bad(format!("{other:?} was not asked for"))),
+                Step::Stop => {
+                    stops = true;
+                    mouth.say(&Word::Stops, &[]).await?;
+                }
+                Step::Look if mine && held() != last => {
+                    last = held();
+                    mouth.say(&Word::Held { held: last }, &[]).await?;
+                }
+                Step::Look => {}
+            }
+        }
+    }
+}
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod events;
 pub mod figures;
+pub mod handover;
 pub mod lines;
 pub mod list;
 pub mod log;
--- a/crates/larklink-proxy/src/lines.rs
+++ b/crates/larklink-proxy/src/lines.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// One that holds what was read elsewhere and not passed on; none if that is more than it may hold.
+    pub fn holding(bytes: Vec<u8>) -> Option<Self> {
+        (bytes.len() <= LONGEST).then_some(Self { bytes, from: 0 })
+    }
+
     pub fn is_full(&self) -> bool {
         self.bytes().len() >= LONGEST
     }
--- a/crates/larklink-proxy/src/list.rs
+++ b/crates/larklink-proxy/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of servers in discovery's form, and an entry of it in the decisions' plain values. Pure.
 use larklink::types::{Entry, State, Time};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The list of servers as discovery writes it.
@@ -12,7 +12,7 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Endpoint {
     pub name: String,
     pub address: String,
--- a/crates/larklink-proxy/src/log.rs
+++ b/crates/larklink-proxy/src/log.rs
@@ -28,6 +28,8 @@
     Silent,
     Moved,
     Stopped,
+    /// It goes on in the process that replaces this one.
+    HandedOver,
 }
 
 impl fmt::Display for Reason {
@@ -49,6 +51,7 @@
             Self::Silent => "silent",
             Self::Moved => "moved",
             Self::Stopped => "stopped",
+            Self::HandedOver => "handed_over",
         })
     }
 }
--- a/crates/larklink-proxy/src/main.rs
+++ b/crates/larklink-proxy/src/main.rs
@@ -1,7 +1,7 @@
 //! Starts a proxy: `larklink [CONFIG]`, else with the configuration that `ROUTER_CONFIG` names. SIGTERM stops
 //! it. `ROUTER_CONSOLE` names the address of the operators' door, before the one in the configuration.
-use std::net::TcpListener;
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,7 +11,9 @@
 use futures_lite::StreamExt;
 use larklink_proxy::config::Config;
 use larklink_proxy::figures::Figures;
-use larklink_proxy::{console, log, proxy, reload::Reload};
+use larklink_proxy::handover::{self, Old};
+use larklink_proxy::proxy::{self, Start};
+use larklink_proxy::{console, log, reload::Reload};
 use socket2::{Domain, Socket, Type};
 
 /// Connections that the kernel holds until they are taken.
@@ -36,7 +38,11 @@
 
 fn start(path: PathBuf, config: Config) -> Result<(), String> {
     let _log = log::start();
-    let listener = listen(&config).map_err(|e| format!("{}: {e}", config.listen))?;
+    let place = handover::place(&config, std::env::var_os("TMPDIR").map(PathBuf::from));
+    let (listener, old) = match place.as_deref().and_then(|at| meet(at, config.listen)) {
+        Some((listener, old)) => (listener, Some(old)),
+        None => (listen(&config).map_err(|e| format!("{}: {e}", config.listen))?, None),
+    };
     let mut signals =
         Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
@@ -61,14 +67,34 @@
             }
         })
         .detach();
-    let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor), figures);
+    let start = Start { config, listener, stop: stopping, moved, figures, place, old };
+    let run = proxy::run(start, Rc::clone(&executor));
     async_io::block_on(executor.run(run)).map_err(|e| e.to_string())
 }
 
+/// The process that serves already under this address, with the listening socket that it hands over. One that does
+/// not speak as it should is let be: the address can be shared with it.
+fn meet(at: &Path, listen: SocketAddr) -> Option<(TcpListener, Old)> {
+    match async_io::block_on(handover::meet(at)) {
+        Ok(Some((listener, old))) if listener.local_addr().ok() == Some(listen) => Some((listener, old)),
+        Ok(Some(_)) => {
+            tracing::warn!("{}: a process with another address", at.display());
+            None
+        }
+        Ok(None) => None,
+        Err(e) => {
+            tracing::warn!("{}: no handover: {e}", at.display());
+            None
+        }
+    }
+}
+
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, None)?;
     // A restart takes the address over from connections that are still closing.
     socket.set_reuse_address(true)?;
+    // A process that replaces another shares the address with it, if it cannot have its socket.
+    socket.set_reuse_port(config.console.is_some())?;
     socket.bind(&config.listen.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Puts a proxy together: takes connections in, and stops in good order.
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use crate::discovery;
 use crate::events;
 use crate::figures::Figures;
+use crate::handover::{Handover, Old};
 use crate::room::Room;
 
 /// Descriptors kept for the listener, discovery, logs and the event loop: so many, two for each server's
@@ -36,21 +38,37 @@
 const FRESH: Duration = Duration::from_secs(2);
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Runs a proxy until `stop` closes and it has stopped. `moved` brings each new address of discovery.
-pub async fn run(
-    config: Config,
-    listener: TcpListener,
-    stop: Receiver<()>,
-    moved: Receiver<SocketAddr>,
-    executor: Rc<LocalExecutor<'static>>,
-    figures: Arc<Figures>,
-) -> std::io::Result<()> {
+/// What a process of a proxy starts with.
+pub struct Start {
+    pub config: Config,
+    pub listener: TcpListener,
+    /// Closes when it is to stop.
+    pub stop: Receiver<()>,
+    /// Brings each new address of discovery.
+    pub moved: Receiver<SocketAddr>,
+    pub figures: Arc<Figures>,
+    /// Where processes of this proxy meet, if there may be two, and the one that serves already.
+    pub place: Option<PathBuf>,
+    pub old: Option<Old>,
+}
+
+/// Runs a proxy until it was asked to stop and has stopped.
+///
+/// # Errors
+/// The listener cannot be waited for.
+pub async fn run(start: Start, executor: Rc<LocalExecutor<'static>>) -> std::io::Result<()> {
+    let Start { config, listener, stop, moved, figures, place, old } = start;
+    let kept = place.as_ref().map(|_| listener.try_clone()).transpose()?;
     let listener = Async::new(listener)?;
     let (queue, events) = events::queue();
     let facts = config.settings;
-    let known = config.known.endpoints;
+    let mut known = config.known.endpoints;
+    if let Some(old) = old.as_ref().filter(|old| !old.list.is_empty()) {
+        known.clone_from(&old.list);
+    }
     let door = if config.console.is_some() { console::DESCRIPTORS } else { 0 };
-    let reserved = RESERVED + door + 2 * known.len();
+    let sockets = config.limits.sockets;
+    let reserved = (RESERVED + door + 2 * known.len()).min(sockets / RESERVED_PART);
     // Streams of their own beside the decisions', from the one seed.
     let chance = |stream| {
         let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
@@ -71,9 +89,9 @@
     let must_ask_in = facts.settings.must_ask_in;
     let watch = discovery::follow(config.discovery, moved, must_ask_in, queue.clone(), chance(1));
     executor.spawn(watch).detach();
-    let sockets = config.limits.sockets;
+    let room = Room::new(sockets - reserved);
     let front = Rc::new(Front {
-        queue,
+        queue: queue.clone(),
         figures: Arc::clone(&figures),
         listeners: facts.listeners,
         connect_timeout: span(facts.settings.connect_timeout),
@@ -83,13 +101,45 @@
         last: STILL_COMING + span(facts.longest).min(LONGEST),
         stopped: Cell::new(None),
         next: Cell::new(0),
-        room: Room::new(sockets - reserved.min(sockets / RESERVED_PART)),
+        room: Rc::clone(&room),
         open: RefCell::default(),
+        heir: Rc::default(),
+    });
+    let (taking, turns) = async_channel::bounded(1);
+    let (given, sessions) = async_channel::bounded(1);
+    let handover = place.map(|place| {
+        Rc::new(Handover {
+            place,
+            room,
+            reserved,
+            queue,
+            taking,
+            stop: stop.clone(),
+            listener: kept.into(),
+            heir: Rc::clone(&front.heir),
+            lost: async_channel::bounded(1),
+            given,
+        })
     });
+    // While an old process takes connections, this one does not.
+    let mut takes = old.is_none();
     let accept = async {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            let turn = async {
+                match turns.recv().await {
+                    Ok(takes) => Err(takes),
+                    Err(_) => future::pending().await,
+                }
+            };
+            let next = async {
+                match takes {
+                    true => Ok(listener.accept().await),
+                    false => future::pending().await,
+                }
+            };
+            match turn.or(next).await {
+                Err(now) => takes = now,
+                Ok(Ok((stream, _))) => {
                     match front.room.enter() {
                         Some(place) => {
                             executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach();
@@ -99,34 +149,68 @@
                     // Who gives way is to have closed before the next one comes.
                     future::yield_now().await;
                 }
-                Err(e) => {
+                Ok(Err(e)) => {
                     tracing::warn!("accept: {e}");
                     Timer::after(BREATHE).await;
                 }
             }
         }
     };
-    let stopped = async {
-        let ready = async {
-            // As fresh as can be had: a silent discovery keeps no process from ever being ready.
-            let waited = async {
-                Timer::after(FRESH).await;
-            };
+    let inherit = async {
+        while let Ok(session) = sessions.recv().await {
+            executor.spawn(clients::inherit(Rc::clone(&front), session)).detach();
+        }
+        future::pending().await
+    };
+    let serve = async {
+        // As fresh as can be had: a silent discovery keeps no process from ever being ready.
+        let waited = Timer::after(FRESH);
+        let fresh = async {
             let heard = async {
                 let _ = first.recv().await;
             };
+            let waited = async {
+                waited.await;
+            };
             heard.or(waited).await;
+        };
+        let Some(handover) = &handover else {
+            fresh.await;
             figures.set_ready(true);
-            future::pending().await
+            return future::pending().await;
         };
-        let _ = stop.recv().or(ready).await;
+        match old {
+            Some(old) => {
+                let old = handover.take(old, fresh).await;
+                let handover = Rc::clone(handover);
+                executor.spawn(async move { handover.follow(old).await }).detach();
+            }
+            None => fresh.await,
+        }
+        // Who waits for the yes may start another process at once.
+        let place = handover.open();
+        figures.set_ready(true);
+        let offered = async { Rc::clone(handover).offer(place?, &executor).await };
+        if let Err(e) = offered.await {
+            tracing::warn!("{}: no process can take over from this one: {e}", handover.place.display());
+        }
+        future::pending().await
+    };
+    let stopped = async {
+        let _ = stop.recv().or(serve).await;
         figures.set_ready(false);
         front.until();
-        Timer::after(STILL_COMING).await;
+        // None comes any more where a new process takes them.
+        if !front.heir.is_there() {
+            Timer::after(STILL_COMING).await;
+        }
     };
-    accept.or(stopped).await;
+    accept.or(inherit).or(stopped).await;
     tracing::info!("no more connections are taken: the proxy stops");
     drop(listener);
+    if let Some(handover) = &handover {
+        handover.listener.take();
+    }
     let until = front.until();
     // Where packets pass through, too: they go on through this proxy until those in front send them elsewhere.
     while Rc::strong_count(&front) > 1 && Instant::now() < until {
--- a/crates/larklink-proxy/src/room.rs
+++ b/crates/larklink-proxy/src/room.rs
@@ -10,6 +10,9 @@
 pub struct Room {
     /// Below nothing while those that give way have not closed yet.
     free: Cell<isize>,
+    all: isize,
+    /// Left to the other process of this proxy, while there are two.
+    others: Cell<isize>,
     next: Cell<u64>,
     /// Who gives way, in this order: if they have spoken, and when they came.
     guests: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
@@ -17,8 +20,9 @@
 
 impl Room {
     pub fn new(descriptors: usize) -> Rc<Self> {
-        let free = Cell::new(isize::try_from(descriptors).unwrap_or(isize::MAX));
-        Rc::new(Self { free, next: Cell::new(0), guests: RefCell::default() })
+        let all = isize::try_from(descriptors).unwrap_or(isize::MAX);
+        let others = Cell::new(0);
+        Rc::new(Self { free: Cell::new(all), all, others, next: Cell::new(0), guests: RefCell::default() })
     }
 
     /// A place for a new connection, a guest until it is [`seated`](Place::seat); none if all the others are
@@ -31,6 +35,32 @@
         Some(Place { room: Rc::clone(self), number, held: 1, tell, told })
     }
 
+    /// Descriptors that are held here.
+    pub fn held(&self) -> usize {
+        usize::try_from(self.all - self.free.get() - self.others.get()).unwrap_or(0)
+    }
+
+    /// The other process of this proxy holds so many of them now. Guests give way where they are too few then;
+    /// sessions stay, and none comes in until there is room.
+    pub fn leave_to(&self, others: usize) {
+        let others = isize::try_from(others).unwrap_or(isize::MAX).min(self.all);
+        let more = others - self.others.replace(others);
+        self.free.set(self.free.get() - more);
+        for _ in 0..more.min(-self.free.get()) {
+            let Some((_, guest)) = self.guests.borrow_mut().pop_first() else { break };
+            let _ = guest.try_send(());
+        }
+    }
+
+    /// The place of a session that the other process held; it comes even where there is no room left, as that one
+    /// gives its own up.
+    pub fn inherit(self: &Rc<Self>) -> Place {
+        self.free.set(self.free.get() - 2);
+        let (tell, told) = async_channel::bounded(1);
+        let number = self.next.replace(self.next.get() + 1);
+        Place { room: Rc::clone(self), number, held: 2, tell, told }
+    }
+
     fn take(&self) -> Option<()> {
         if self.free.get() <= 0 {
             let (_, guest) = self.guests.borrow_mut().pop_first()?;
--- /dev/null
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -0,0 +1,384 @@
+//! Processes of one proxy that take over from each other: the program itself on loopback, under clients that come
+//! without pause. Every wait is for a line, an end or an exit that must come.
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use larklink_proxy::handover::wire::word;
+use larklink_proxy::room::Room;
+use rustix::process::{Pid, Signal, kill_process};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A proxy's folder, address and configuration; its processes come and go.
+struct Proxy {
+    folder: PathBuf,
+    listen: SocketAddr,
+    /// Keeps the port from others; it is bound and never listens.
+    _port: socket2::Socket,
+}
+
+struct Process {
+    child: Child,
+    door: SocketAddr,
+    /// Its log, read as it comes: a full pipe would hold its exit up.
+    log: Receiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill().and_then(|()| self.child.wait());
+    }
+}
+
+impl Process {
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Waits until its log says so.
+    fn says(&self, text: &str) {
+        let said = |log: &Receiver<String>| log.recv_timeout(PATIENCE).expect("it never says so");
+        while !said(&self.log).contains(text) {}
+    }
+
+    fn ready(&self) -> bool {
+        let mut door = TcpStream::connect(self.door).unwrap();
+        door.set_read_timeout(Some(PATIENCE)).unwrap();
+        door.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
+        let mut reply = String::new();
+        door.read_to_string(&mut reply).unwrap();
+        reply.starts_with("HTTP/1.1 200 ")
+    }
+
+    fn gets_ready(self) -> Self {
+        let until = Instant::now() + PATIENCE;
+        while !self.ready() {
+            assert!(Instant::now() < until, "it is never ready");
+            thread::yield_now();
+        }
+        self
+    }
+
+    fn ends(mut self) {
+        assert!(self.child.wait().unwrap().success());
+    }
+}
+
+impl Proxy {
+    fn new(name: &str, mode: &str, server: SocketAddr, discovery: SocketAddr) -> Self {
+        let folder = std::env::temp_dir().join(format!("larklink-{name}-{mode}-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let port = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        port.set_reuse_address(true).unwrap();
+        port.set_reuse_port(true).unwrap();
+        port.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let listen = port.local_addr().unwrap().as_socket().unwrap();
+        let config = format!(
+            r#"{{"listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"sockets":256}},
+                "known":{{"index":1,"endpoints":[
+                    {{"name":"s-0","address":"{server}","status":"up","weight":1.0}}]}},
+                "settings":{{"grades":[{{"name":"chat","idempotency":"idempotent","deadline_ns":500000000}}],
+                    "domain":{{"mode":"{mode}"}},"policy_limits":{{"dial_timeout_ns":250000000,"send_cap":2}}}}}}"#
+        );
+        fs::write(folder.join("config.json"), config).unwrap();
+        Self { folder, listen, _port: port }
+    }
+
+    fn place(&self) -> PathBuf {
+        self.folder.join(format!("larklink-{}", self.listen.to_string().replace(':', "-")))
+    }
+
+    fn start(&self) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_larklink"));
+        command.arg(self.folder.join("config.json"));
+        command.env("TMPDIR", &self.folder).env("ROUTER_CONSOLE", "127.0.0.1:0").stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let (tell, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = tell.send(line)));
+        let door = loop {
+            let line = log.recv_timeout(PATIENCE).expect("it ended at its start");
+            if let Some((_, door)) = line.split_once("console=") {
+                break door.parse().unwrap();
+            }
+        };
+        Process { child, door, log }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self(BufReader::new(stream))
+    }
+
+    fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    fn hear(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line
+    }
+}
+
+fn open() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("OPEN {:x} 2 c=chat,t=acme,d=5000,g=3\r\n", NEXT.fetch_add(1, Relaxed))
+}
+
+/// A server that accepts every session, answers each line with the same line, and ends with the first that says
+/// so.
+fn echoes() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            thread::spawn(move || {
+                let mut peer = Peer::new(stream.unwrap());
+                peer.0.get_ref().set_read_timeout(None).unwrap();
+                peer.hear();
+                peer.say("UP 1\r\nLOAD 40\r\n");
+                loop {
+                    match peer.hear() {
+                        line if line.is_empty() => return,
+                        line if line == "END\r\n" => return peer.say("BYE\r\n"),
+                        line => peer.say(&line),
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+/// An agent that never answers; it is as good as none.
+fn mute() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+/// An agent that tells the whole list at once, and nothing more.
+fn agent(server: SocketAddr) -> SocketAddr {
+    let (listener, at) = mute();
+    let body = format!(
+        r#"{{"index":2,"snapshot":true,"endpoints":[{{"name":"s-0","address":"{server}","status":"up"}}]}}"#
+    );
+    thread::spawn(move || {
+        let mut kept = Vec::new();
+        for stream in listener.incoming() {
+            let mut peer = Peer::new(stream.unwrap());
+            while !matches!(peer.hear().as_str(), "\r\n" | "") {}
+            let _ =
+                write!(peer.0.get_mut(), "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            kept.push(peer);
+        }
+    });
+    at
+}
+
+fn stands(proxy: &Proxy) -> Peer {
+    let mut client = Peer::new(TcpStream::connect(proxy.listen).unwrap());
+    client.say(&open());
+    assert_eq!((client.hear(), client.hear()), ("UP 1\r\n".into(), "LOAD 40\r\n".into()));
+    client
+}
+
+fn goes_on(client: &mut Peer) {
+    client.say("M 1\r\n");
+    assert_eq!(client.hear(), "M 1\r\n");
+}
+
+/// Ten replacements, while clients come without pause, each with one answer, and sessions that stand go on unbroken
+/// with what each side had said of a line.
+#[test]
+fn ten_replacements_lose_no_connection_and_break_no_session() {
+    for mode in ["pass", "proxy"] {
+        let server = echoes();
+        let proxy = Proxy::new("ten", mode, server, agent(server));
+        let mut process = proxy.start().gets_ready();
+        let mut standing: Vec<_> = (0..20).map(|_| stands(&proxy)).collect();
+        let over = AtomicBool::new(false);
+        /// Lets the others end too where the test fails.
+        struct Over<'a>(&'a AtomicBool);
+        impl Drop for Over<'_> {
+            fn drop(&mut self) {
+                self.0.store(true, Relaxed);
+            }
+        }
+        thread::scope(|scope| {
+            let come = || {
+                let mut served = 0;
+                while !over.load(Relaxed) {
+                    let mut client = stands(&proxy);
+                    client.say("END\r\n");
+                    assert_eq!(client.hear(), "BYE\r\n");
+                    assert_eq!(client.hear(), "");
+                    served += 1;
+                }
+                served
+            };
+            let comers: Vec<_> = (0..4).map(|_| scope.spawn(come)).collect();
+            let ends = Over(&over);
+            for _ in 0..10 {
+                standing.iter_mut().for_each(|c| c.say("half"));
+                let next = proxy.start().gets_ready();
+                process.signal(Signal::TERM);
+                std::mem::replace(&mut process, next).ends();
+                for client in &mut standing {
+                    client.say(" of it\r\n");
+                    assert_eq!(client.hear(), "half of it\r\n");
+                    goes_on(client);
+                }
+            }
+            drop(ends);
+            assert!(comers.into_iter().all(|c| c.join().unwrap() > 10));
+        });
+    }
+}
+
+/// Whoever of the two is stopped or dies, the one that is left serves on in full.
+#[test]
+fn the_process_that_is_left_serves_on() {
+    let server = echoes();
+    let (_mute, silent) = mute();
+    let proxy = Proxy::new("left", "proxy", server, silent);
+    let old = proxy.start().gets_ready();
+    let mut client = stands(&proxy);
+    // One that dies before it is ready: with a discovery that says nothing that takes it a while.
+    let early = proxy.start();
+    assert!(!early.ready());
+    drop(early);
+    old.says("the new process is gone");
+    goes_on(&mut stands(&proxy));
+    // One that dies after it was ready, and before the old one was stopped.
+    drop(proxy.start().gets_ready());
+    old.says("takes connections again");
+    goes_on(&mut stands(&proxy));
+    goes_on(&mut client);
+    // The old one is stopped before the new one is ready, and gives it what stands at once.
+    let new = proxy.start();
+    assert!(!new.ready());
+    old.signal(Signal::TERM);
+    new.says("takes the connections over");
+    old.ends();
+    goes_on(&mut stands(&proxy));
+    goes_on(&mut client);
+    // Two new ones at once: one takes over from the other.
+    let (one, two) = (proxy.start(), proxy.start());
+    let (one, two) = (one.gets_ready(), two.gets_ready());
+    new.signal(Signal::TERM);
+    new.ends();
+    one.signal(Signal::TERM);
+    two.signal(Signal::TERM);
+    let mut last = proxy.start().gets_ready();
+    one.ends();
+    two.ends();
+    goes_on(&mut stands(&proxy));
+    last.signal(Signal::KILL);
+    let _ = last.child.wait();
+    // What a killed one leaves behind in the folder keeps no other from its start.
+    let _last = proxy.start().gets_ready();
+    goes_on(&mut stands(&proxy));
+}
+
+#[test]
+fn who_meets_nonsense_starts_without_it() {
+    let server = echoes();
+    let old_version = r#"{"offer":{"version":7,"list":[]}}"#;
+    let long = "x".repeat(2 << 20);
+    for said in ["", "hello\n", old_version, "{\"offer\":", "{\"take\":null}\n", "\"stops\"\n", &long] {
+        let proxy = Proxy::new("nonsense", "proxy", server, agent(server));
+        let place = UnixListener::bind(proxy.place()).unwrap();
+        let said = said.to_owned();
+        let speaks = thread::spawn(move || {
+            let (mut met, _) = place.accept().unwrap();
+            // It may hang up before all is said.
+            let _ = met.write_all(said.as_bytes());
+            if said.ends_with('\n') {
+                let _ = met.read(&mut [0]);
+            }
+        });
+        let _process = proxy.start().gets_ready();
+        speaks.join().unwrap();
+        goes_on(&mut stands(&proxy));
+    }
+}
+
+/// Somebody who comes to the meeting place and says nonsense or nothing, leaves or stays, changes nothing.
+#[test]
+fn who_is_met_by_nonsense_serves_on() {
+    let server = echoes();
+    let proxy = Proxy::new("visited", "proxy", server, agent(server));
+    let process = proxy.start().gets_ready();
+    let meet = || UnixStream::connect(proxy.place()).unwrap();
+    let _silent = meet();
+    for said in ["nonsense\n", "{\"session\":{}}\n", "\"stops\"\n"] {
+        meet().write_all(said.as_bytes()).unwrap();
+        process.says("the new process is gone");
+        goes_on(&mut stands(&proxy));
+    }
+}
+
+#[test]
+fn words_that_are_none_are_told_with_their_reason() {
+    assert!(word(br#"{"offer":{"version":1,"list":[]}}"#).is_ok());
+    for (line, reason) in [
+        (&br#"{"offer":{"version":2,"list":[]}}"#[..], "version 2"),
+        (br#"{"offer":{"version":1}}"#, "missing field `list`"),
+        (br#"{"offer":{"version":1,"list":[]}"#, "EOF"),
+        (br#"{"held":{"held":-1}}"#, "invalid value"),
+        (br#"{"give":{}}"#, "unknown variant"),
+        (b"\xff\xfe", "expected value"),
+        (b"", "EOF"),
+    ] {
+        let wrong = word(line).unwrap_err().to_string();
+        assert!(wrong.contains(reason), "{line:?}: {wrong}");
+    }
+}
+
+/// Two processes never hold more than one may; who gives up lets the other have it.
+#[test]
+fn descriptors_count_for_both() {
+    let room = Room::new(6);
+    let guest = room.enter().unwrap();
+    let mut session = room.enter().unwrap();
+    assert!(session.seat() && session.second());
+    assert_eq!(room.held(), 3);
+    room.leave_to(3);
+    assert_eq!(room.held(), 3);
+    // Full with the other's: the guest gives way, and then there is nobody left to.
+    let more = room.enter().unwrap();
+    assert!(!guest.seat());
+    drop(guest);
+    assert!(more.seat());
+    assert!(room.enter().is_none());
+    // Sessions that are given come all the same, and count.
+    let given = room.inherit();
+    assert_eq!(room.held(), 5);
+    room.leave_to(1);
+    assert!(room.enter().is_none());
+    drop(given);
+    assert!(room.enter().is_some());
+    room.leave_to(0);
+    drop((more, session));
+    assert_eq!(room.held(), 0);
+}
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -11,7 +11,9 @@
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use larklink_proxy::{config::Config, figures::Figures, proxy};
+use larklink_proxy::config::Config;
+use larklink_proxy::figures::Figures;
+use larklink_proxy::proxy::{self, Start};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -119,7 +121,9 @@
     let counted = Arc::clone(&figures);
     let thread = thread::spawn(move || {
         let executor = Rc::new(LocalExecutor::new());
-        let run = proxy::run(config, listener, stopping, moved, Rc::clone(&executor), counted);
+        let start =
+            Start { config, listener, stop: stopping, moved, figures: counted, place: None, old: None };
+        let run = proxy::run(start, Rc::clone(&executor));
         async_io::block_on(executor.run(run)).unwrap();
     });
     Proxy { address, stop, thread, figures }
