Where only drains bind, a server that the list merely lost keeps what it holds

Cause: one of the new sites' settings has `safety.removal_not_binding`: a server listed as gone, or left out, without having been listed as draining may still be sent to, since the list proves nothing there. The settings did not reach the module, which moved everything off such a server and sent no mid-flow session back to it.

Change: `Settings::only_drains`, through `larklink-core`, so for adapter and daemon alike; absent means as before. `Server::drained` remembers a listed drain until the server is listed ready. One that is merely lost keeps its sessions, is probed, and gets those that come mid-flow back, for as long as one that joined counts as new; silence moves them off as from any other. It leaves the table, which the list alone makes, alike everywhere, so nothing new goes there. Not taken: keeping lost servers in the table on own evidence (replaced servers that never come back would cost each of hundreds of proxies a dial again and again). Also holds against a list that loses servers by itself. It may hurt where a lost server is dead and silent: as slow as any silence.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -64,6 +64,7 @@
     fall_multiple: f64,
     must_ask_in_ns: i64,
     overload_for_ns: i64,
+    removal_not_binding: bool,
     start_capacity: f64,
 }
 
@@ -103,6 +104,7 @@
             fall_multiple: 1.0,
             must_ask_in_ns: 10_000_000_000,
             overload_for_ns: 1_000_000_000,
+            removal_not_binding: false,
             start_capacity: 1.0,
         }
     }
@@ -163,6 +165,7 @@
             on_request: info.discovery == "on_request",
             must_ask_in: tenths(safety.must_ask_in_ns),
             drain_grace: tenths(safety.drain_grace_ns),
+            only_drains: safety.removal_not_binding,
             start_capacity: safety.start_capacity,
             cold: tenths(safety.cold_ns),
             fall_multiple: safety.fall_multiple,
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -71,6 +71,8 @@
     entry: Entry,
     /// When we were told that it drains or is gone.
     told: Option<Time>,
+    /// It was listed as draining, and not as ready since.
+    drained: bool,
     /// When it joined our list; 0: from the first.
     joined: Time,
     /// Sessions of ours that stand there or are being dialled, and their load in mean loads of a session.
@@ -107,6 +109,12 @@
         self.entry.state == State::Ready
     }
 
+    /// It is to get nothing new. Where only drains bind, one that the list has merely lost keeps what it holds until
+    /// our own evidence speaks against it: the list may be wrong. It leaves the table, which the list alone makes.
+    fn barred(&self, only_drains: bool) -> bool {
+        !self.ready() && (self.drained || !only_drains)
+    }
+
     /// The time since its last start, if that was of late.
     fn age(&self, now: Time) -> Time {
         if self.entry.came_up == 0 { Time::MAX } else { now.saturating_sub(self.entry.came_up) }
@@ -278,6 +286,7 @@
             }
             s.entry = entry;
             s.told = if s.ready() { None } else { s.told.or(Some(now)) };
+            s.drained = !s.ready() && (s.drained || entry.state == State::Draining);
         }
         self.table.clear();
         // Any answer shows that the subscription stands; its break will be told.
@@ -473,7 +482,8 @@
                     (s.heard.max(probed), self.rng.random_range(most / 2..=most))
                 }
             };
-            if probing && s.ready() && (s.held > 0 || s.misses > 0) && last + wait <= now {
+            let barred = s.barred(self.set.only_drains);
+            if probing && !barred && (s.held > 0 || s.misses > 0) && last + wait <= now {
                 (s.probed, s.asked) = (Some(now), true);
                 self.todo.push(Chore::Probe(ix));
             }
@@ -484,7 +494,7 @@
                 }
                 _ => MOVED,
             };
-            if s.held > 0 && (s.misses >= SILENT || !s.ready()) {
+            if s.held > 0 && (s.misses >= SILENT || barred) {
                 // A silent server's sessions hang until the list notices, a draining one's break at its stop.
                 if s.misses == SILENT {
                     s.misses += 1;
@@ -635,7 +645,10 @@
             // The earlier owner: one that joined of late did not hold this connection, one that drains may.
             let (grace, keep) = (self.set.drain_grace / 2, self.set.cold);
             let earlier = |s: &Server| match s.told {
-                Some(t) => s.entry.state == State::Draining && now <= t + grace,
+                Some(t) if s.barred(self.set.only_drains) => {
+                    s.entry.state == State::Draining && now <= t + grace
+                }
+                Some(t) => now <= t + keep,
                 None => s.ready() && (s.joined == 0 || s.joined + keep <= now),
             };
             let owner = self.rank(sess.bucket, earlier).first().copied();
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -47,6 +47,8 @@
     pub on_request: bool,
     pub must_ask_in: Time,
     pub drain_grace: Time,
+    /// Only a server that was itself listed as draining is closed to new work: one that is merely gone may be up.
+    pub only_drains: bool,
     pub start_capacity: f64,
     pub cold: Time,
     pub fall_multiple: f64,
