A server whose connections failed counts as started anew when it is heard again

Change: a connection that cannot be made or breaks marks the server as down; the next sign of life is its start, unless the list tells a later one, and its dials out begin at one again. Also holds against servers that flap, hang and come back, or stand behind a way that was cut. It may hurt where one connection breaks for another reason: this proxy alone sends that server less for its warm-up.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -83,6 +83,9 @@
     bad: f64,
     /// Failures since its last sign of life, and when a set-up last hung.
     misses: u32,
+    /// A connection to it failed since then, and when one served after such a failure: lists say it late or never.
+    down: bool,
+    back: Time,
     hung: Time,
     heard: Time,
     probed: Option<Time>,
@@ -115,9 +118,10 @@
         !self.ready() && (self.drained || !only_drains)
     }
 
-    /// The time since its last start, if that was of late.
+    /// The time since its last start, if that was of late, or since it came back as far as we saw ourselves.
     fn age(&self, now: Time) -> Time {
-        if self.entry.came_up == 0 { Time::MAX } else { now.saturating_sub(self.entry.came_up) }
+        let last = self.entry.came_up.max(self.back);
+        if last == 0 { Time::MAX } else { now.saturating_sub(last) }
     }
 
     /// A sign of life: the process answers. It may take connections and drop them, so this is no success.
@@ -126,6 +130,9 @@
         if self.misses >= SILENT {
             self.trust = 1.0;
         }
+        if std::mem::take(&mut self.down) {
+            (self.trust, self.back) = (1.0, now);
+        }
         (self.heard, self.misses) = (now, 0);
     }
 
@@ -147,7 +154,7 @@
         match how {
             How::Accepted if !probe => return self.served(now, now),
             How::Accepted | How::Full => return self.heard(now),
-            How::Unmade | How::Broken => self.misses += 1,
+            How::Unmade | How::Broken => (self.misses, self.down) = (self.misses + 1, true),
             How::Late if probe => self.misses += 1,
             How::Late => self.hung = now,
             How::Error if !probe => {}
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -786,6 +786,24 @@
     assert!(sent <= 2, "{sent} sends to a server that has just started");
 }
 
+/// It died and came back cold, and the list says nothing of it: who saw a connection fail treats it as new. A line
+/// that is only late proves no death.
+#[test]
+fn a_server_that_failed_unseen_in_the_list_comes_back_cold() {
+    let sent = |how| {
+        let mut b = fleet(settings(), 4);
+        let placed: Vec<_> = (1..81).map(|key| b.place(0, ask(key, 0))).collect();
+        placed.iter().for_each(|(ix, _)| b.stood(10, *ix));
+        let on = placed.iter().find(|(_, to)| dialled(*to) == 0).unwrap().0;
+        b.settled(SECOND, on, how, true);
+        b.probed(2 * SECOND, 0, How::Accepted, 10, 0.0, 0.0);
+        let now = 12 * SECOND;
+        (100..400).filter(|key| dialled(b.place(now, ask(*key, 0)).1) == 0).count()
+    };
+    assert!(sent(How::Broken) <= 2, "{} sessions to a server that has just come back", sent(How::Broken));
+    assert!(sent(How::Late) > 20, "{} sessions to a server that was late once", sent(How::Late));
+}
+
 #[test]
 fn a_failed_list_call_is_made_again_in_time() {
     let set = Settings { on_request: true, ..settings() };
