A group that comes again all at once does not push its new server over

A log line at each dial to it (probe, taken out again) shows 58 in 2.3 s, all from proxies that held nothing there and knew its start, 43 of them of clients that came again: one large group, whose old owner drained, on its way to one new owner. `within_budget` lets a session in by what its proxy may send over the share w/W of all sessions that a server draws; a group that moves goes there whole. Ruled out: late lists (known for 0.5 s before the first dial), mid-flow sessions (none), the pace itself (halved and quartered, still 4.8).

Change: who comes again after a break or a move counts by the root of w/W in place of w/W, where servers cannot be probed; where they can, a probe goes first. Also holds against any crowd of one key or group. It may hurt where many small groups come again at once: they go on to warm servers.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -62,6 +62,8 @@
 /// A cold server is sent so many times what would fill it over its warm-up at the multiple, read with the
 /// least share and the longest warm-up that the settings allow; ten times that has broken no rule yet.
 const WARY: f64 = 3.0;
+/// And at most this share of what makes it fall over within the span in which that is counted.
+const BURST: f64 = 0.5;
 /// The most successes that speak for a server.
 const TRUSTED: f64 = 8.0;
 
@@ -735,7 +737,11 @@
         let share = start + (1.0 - start) * age as f64 / cold as f64;
         let told = self.told / self.full / f64::from(self.set.proxies);
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
-        let rate = WARY * self.set.fall_multiple * fill / cold as f64;
-        rate * sess.turn * weight >= self.weight(s) && s.load < fill + 1.0
+        let pace = (WARY / cold as f64).min(BURST / self.set.overload_for.max(1) as f64);
+        let rate = pace * self.set.fall_multiple * fill;
+        // A large group that broke or was moved comes again all at once, and to one server: where none can be asked
+        // first, nothing else tells a proxy of a session or two.
+        let (share, burst) = (self.weight(s) / weight, sess.ask.again && !self.set.probing);
+        rate * sess.turn >= if burst { share.sqrt() } else { share } && s.load < fill + 1.0
     }
 }
