--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -85,7 +85,7 @@
     bad: f64,
     /// Failures since its last sign of life, and when a set-up last hung.
     misses: u32,
-    /// A connection to it failed since then, and when one served after such a failure: lists say it late or never.
+    /// A connection to it failed since then, and when one served after that: lists say it late or never.
     down: bool,
     back: Time,
     hung: Time,
@@ -114,8 +114,8 @@
         self.entry.state == State::Ready
     }
 
-    /// It is to get nothing new. Where only drains bind, one that the list has merely lost keeps what it holds until
-    /// our own evidence speaks against it: the list may be wrong. It leaves the table, which the list alone makes.
+    /// It is to get nothing new. Where only drains bind, one that the list has merely lost keeps what it holds
+    /// until our own evidence speaks against it. It leaves the table, which the list alone makes.
     fn barred(&self, only_drains: bool) -> bool {
         !self.ready() && (self.drained || !only_drains)
     }
@@ -433,8 +433,8 @@
         s.ended(now, how, true);
     }
 
-    /// How many servers the list has, and how many of them are avoided now: they drain, are silent, or have failed
-    /// more often than not.
+    /// How many servers the list has, and how many of them are avoided now: they drain, are silent, or have
+    /// failed more often than not.
     pub fn census(&self) -> (usize, usize) {
         let listed = self.servers.iter().filter(|s| s.entry.state != State::Gone);
         let avoided = |s: &&Server| !s.ready() || s.misses >= SILENT || s.bad > s.good;
@@ -739,8 +739,8 @@
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
         let pace = (WARY / cold as f64).min(BURST / self.set.overload_for.max(1) as f64);
         let rate = pace * self.set.fall_multiple * fill;
-        // A large group that broke or was moved comes again all at once, and to one server: where none can be asked
-        // first, nothing else tells a proxy of a session or two.
+        // A large group that broke or was moved comes again all at once, and to one server: where none can be
+        // asked first, nothing else tells a proxy of a session or two.
         let (share, burst) = (self.weight(s) / weight, sess.ask.again && !self.set.probing);
         rate * sess.turn >= if burst { share.sqrt() } else { share } && s.load < fill + 1.0
     }
