Rehearsals replace processes under load and hold the figures against the book

Need: replacing a process and its figures are to be rehearsed at a desk, with faults that the audit must find. Change: `proxies.doors`, the fault `proxy-replaced`, a task that asks each daemon for its figures twice a second and holds them against what clients saw (`operators.rs`), scenarios `replace-process` and `operators-call`, planted faults `DropsQueued` (found as `no_answer`) and `CountsTwice`. Seen on the way: a process that does not listen yet refused a call, which counted as missed; one that never answered owes nothing now.

Tests: both modes, no session moved or lost.

--- a/crates/larkctl/src/rehearse.rs
+++ b/crates/larkctl/src/rehearse.rs
@@ -10,12 +10,14 @@
 use larklink_world::scenario::Scenario;
 
 /// The scenarios that ship with the daemon, by name.
-const SHIPPED: [(&str, &str); 11] = [
+const SHIPPED: [(&str, &str); 13] = [
     ("calm", include_str!("../../../rehearsals/calm.toml")),
     ("cold-return", include_str!("../../../rehearsals/cold-return.toml")),
     ("deaf-clients", include_str!("../../../rehearsals/deaf-clients.toml")),
     ("list-lost", include_str!("../../../rehearsals/list-lost.toml")),
+    ("operators-call", include_str!("../../../rehearsals/operators-call.toml")),
     ("proxy-killed", include_str!("../../../rehearsals/proxy-killed.toml")),
+    ("replace-process", include_str!("../../../rehearsals/replace-process.toml")),
     ("retry-storm", include_str!("../../../rehearsals/retry-storm.toml")),
     ("rolling-restart", include_str!("../../../rehearsals/rolling-restart.toml")),
     ("silent-fifth", include_str!("../../../rehearsals/silent-fifth.toml")),
--- a/crates/larklink-proxy/tests/rehearsals.rs
+++ b/crates/larklink-proxy/tests/rehearsals.rs
@@ -129,7 +129,8 @@
         Planted::SendsAgain => Broken::MayRunTwice,
         Planted::Cuts => Broken::CutWithoutMove,
         Planted::Rushes => Broken::ColdRushed,
-        Planted::StallsKit => unreachable!("it breaks no rule"),
+        Planted::DropsQueued => Broken::NoAnswer,
+        Planted::StallsKit | Planted::CountsTwice => unreachable!("they break no rule"),
     };
     // A few at a time, so that the machine has time for each.
     for planted in Planted::BREAKING.chunks(4) {
@@ -143,6 +144,27 @@
     alone.collect::<Vec<_>>().into_iter().for_each(|run| clean(&run.join().unwrap()));
 }
 
+/// Replaced under load in both modes, no session is lost, cut or moved, and the figures of all processes together are
+/// what clients saw; a figure that counts twice is found.
+#[test]
+fn a_process_is_replaced_without_loss_and_its_figures_are_true() {
+    let text = |passes| {
+        format!(
+            "length = '8s'\n[proxies]\ncount = 2\ndoors = true\n[rules]\npasses = {passes}\n[[listeners]]\nstanding = 100\n\
+             rate = 40.0\nlife = '4s'\n[[faults]]\nwhat = 'proxy-replaced'\nat = '2s'\nevery = '3s'\ntimes = 2\n"
+        )
+    };
+    for passes in [false, true] {
+        let report = rehearse(&text(passes), 1, None);
+        clean(&report);
+        let answers = &report.rows[0].answers;
+        assert_eq!((answers.moved, answers.nobody_there), (0, 0), "{answers:?}");
+        assert_eq!(report.daemons[0].starts, 3);
+    }
+    let report = rehearse(&text(false), 1, Some(Planted::CountsTwice));
+    assert!(report.unmet.iter().any(|u| u.contains("pick-list: passed")), "{:?}", report.unmet);
+}
+
 #[test]
 fn a_run_for_which_the_kit_itself_is_late_counts_for_nothing() {
     let report = rehearse("length = '2s'\n", 1, Some(Planted::StallsKit));
--- a/crates/larklink-rehearse/src/daemons.rs
+++ b/crates/larklink-rehearse/src/daemons.rs
@@ -16,6 +16,7 @@
 use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
 
 use crate::discovery::entry;
+use crate::operators::{Operators, call};
 use crate::stage::Stage;
 use crate::wire::Lines;
 
@@ -79,6 +80,8 @@
     listen: SocketAddr,
     /// Where it finds discovery; the second one after a reload, and so on by turns.
     agents: [SocketAddr; 2],
+    /// Where its processes' operators' doors are, by turns; none for no door.
+    doors: Vec<SocketAddr>,
     reloads: usize,
     process: Option<Process>,
     before: Use,
@@ -92,6 +95,7 @@
         number: usize,
         listen: SocketAddr,
         agents: [SocketAddr; 2],
+        doors: Vec<SocketAddr>,
     ) -> Self {
         Self {
             program: program.to_owned(),
@@ -99,6 +103,7 @@
             number,
             listen,
             agents,
+            doors,
             reloads: 0,
             process: None,
             before: Use::default(),
@@ -106,6 +111,13 @@
         }
     }
 
+    /// The process that runs, by its proxy and start, and its door.
+    pub fn door(&self) -> Option<((usize, u32), SocketAddr)> {
+        self.process.as_ref()?;
+        let door = self.doors.get(self.now.starts as usize % self.doors.len().max(1))?;
+        Some(((self.number, self.now.starts), *door))
+    }
+
     fn config(&self) -> PathBuf {
         self.folder.join(format!("proxy-{}.json", self.number))
     }
@@ -136,6 +148,11 @@
         let log = File::options().create(true).append(true).open(self.log())?;
         let mut command = Command::new(&self.program);
         command.arg(self.config()).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        if let Some(door) = self.doors.get(self.now.starts as usize % self.doors.len().max(1)) {
+            let own = self.folder.join(format!("proxy-{}", self.number));
+            std::fs::create_dir_all(&own)?;
+            command.env("ROUTER_CONSOLE", door.to_string()).env("TMPDIR", own);
+        }
         // SAFETY: only one system call is made between fork and exec, and nothing is allocated.
         unsafe {
             command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?));
@@ -177,6 +194,7 @@
     stage: Rc<Stage>,
     slots: Rc<RefCell<Vec<Slot>>>,
     orders: Receiver<(usize, Upon)>,
+    operators: Rc<Operators>,
 ) -> String {
     loop {
         let order = async { orders.recv().await.ok() };
@@ -199,6 +217,11 @@
                 let (stage, slots) = (Rc::clone(&stage), Rc::clone(&slots));
                 Rc::clone(&stage).spawn(stop(stage, slots, proxy, back));
             }
+            Some((proxy, Upon::Replace)) => {
+                if let Err(wrong) = replace(&stage, &slots, proxy, &operators).await {
+                    return wrong;
+                }
+            }
             Some((proxy, Upon::Reload)) => {
                 let mut slots = slots.borrow_mut();
                 slots[proxy].reloads += 1;
@@ -243,6 +266,55 @@
     Ok(())
 }
 
+/// Starts a second process beside the first, and stops that one when the new one says that it is ready.
+async fn replace(
+    stage: &Rc<Stage>,
+    slots: &RefCell<Vec<Slot>>,
+    proxy: usize,
+    operators: &Rc<Operators>,
+) -> Result<(), String> {
+    let (old, door) = {
+        let slot = &mut slots.borrow_mut()[proxy];
+        let Some(door) = slot.door() else { return Ok(()) };
+        slot.measure();
+        slot.before = slot.now;
+        let Some(old) = slot.process.take() else { return Ok(()) };
+        slot.start(stage).map_err(|e| format!("{}: {e}", slot.program.display()))?;
+        (old, door)
+    };
+    let new = slots.borrow()[proxy].door().map(|(_, at)| at);
+    let until = Instant::now() + READY;
+    while let Some(at) = new {
+        if matches!(call(at, "/ready").await, Ok((200, _))) {
+            break;
+        }
+        {
+            let slot = &mut slots.borrow_mut()[proxy];
+            if let Some(status) = slot.process.as_mut().and_then(Process::exited) {
+                return Err(format!(
+                    "proxy {proxy}: the new process ended at its start ({status})\n{}",
+                    slot.tail()
+                ));
+            }
+            if Instant::now() >= until {
+                return Err(format!("proxy {proxy}: the new process is never ready\n{}", slot.tail()));
+            }
+        }
+        Timer::after(TRIES_EVERY).await;
+    }
+    old.signal(Signal::TERM);
+    let operators = Rc::clone(operators);
+    stage.spawn(async move {
+        let (mut old, until) = (old, Instant::now() + STOPS);
+        while old.exited().is_none() && Instant::now() < until {
+            // Its last figures; it may have ended meanwhile.
+            let _ = operators.ask(door.0, door.1).await;
+            Timer::after(TRIES_EVERY).await;
+        }
+    });
+    Ok(())
+}
+
 /// Whether a probe is answered there; if not, a moment has gone by.
 async fn answers(at: SocketAddr) -> bool {
     let asked = async {
--- a/crates/larklink-rehearse/src/doors.rs
+++ b/crates/larklink-rehearse/src/doors.rs
@@ -34,13 +34,17 @@
     Cuts,
     /// Sends all sessions to a server that has just started.
     Rushes,
+    /// Ends one connection in 50 unheard, as those are that wait at a listener that closes.
+    DropsQueued,
+    /// Tells one session in 20 twice in the figures.
+    CountsTwice,
     /// Breaks no rule but holds the kit itself up, one time in 20.
     StallsKit,
 }
 
 impl Planted {
     /// Those that break a rule.
-    pub const BREAKING: [Self; 7] = [
+    pub const BREAKING: [Self; 8] = [
         Self::AnswersTwice,
         Self::SwallowsAnswers,
         Self::DialsTwo,
@@ -48,6 +52,7 @@
         Self::SendsAgain,
         Self::Cuts,
         Self::Rushes,
+        Self::DropsQueued,
     ];
 }
 
@@ -81,6 +86,9 @@
     }
 
     async fn pass(&self, mut client: Lines) -> std::io::Result<()> {
+        if self.planted == Planted::DropsQueued && self.every(50) {
+            return Ok(());
+        }
         let Some(first) = client.next().await? else { return Ok(()) };
         let text = format!("{}\r\n", String::from_utf8_lossy(&first));
         let direct = match self.planted {
--- a/crates/larklink-rehearse/src/lib.rs
+++ b/crates/larklink-rehearse/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemons;
 pub mod discovery;
 pub mod doors;
+pub mod operators;
 pub mod plots;
 pub mod report;
 pub mod run;
--- a/crates/larklink-rehearse/src/run.rs
+++ b/crates/larklink-rehearse/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::daemons::{self, Slot};
 use crate::doors::{self, Planted};
+use crate::operators::Operators;
 use crate::report::{Report, Sample};
 use crate::stage::{Parts, Stage, pace};
 use crate::{discovery, servers};
@@ -25,6 +26,8 @@
 /// The kit's own timer, and by how much it may be late before the run counts for nothing.
 /// Larger fleets can be modelled, in simulated time.
 const MOST_DAEMONS: usize = 64;
+/// Doors of one proxy: a process that ends and those after it have each their own.
+const DOORS: usize = 4;
 const BEAT: Duration = Duration::from_millis(5);
 const LATE: Duration = Duration::from_millis(20);
 const SAMPLED: Duration = Duration::from_millis(250);
@@ -148,6 +151,8 @@
     let mut addresses = Addresses::of(number);
     let (server_at, proxy_at, agents) =
         (addresses.take(servers), addresses.take(count), addresses.take(2 * count));
+    let each = if scenario.proxies.doors { DOORS } else { 0 };
+    let doors: Vec<_> = (0..count).map(|_| addresses.take(each)).collect();
     let front_at = if options.planted.is_some() { addresses.take(count) } else { proxy_at.clone() };
     let world = World::new(&scenario, options.seed);
     let listed: Vec<_> = scenario.each_server().map(|s| s.listed).collect();
@@ -168,8 +173,16 @@
             stage.spawn(doors::serve(Rc::clone(&stage), at, daemon, planted, Rc::clone(&count)));
         }
     }
-    let slots = (0..count)
-        .map(|i| Slot::new(&options.daemon, folder, i, proxy_at[i], [agents[2 * i], agents[2 * i + 1]]));
+    let slots = (0..count).map(|i| {
+        Slot::new(
+            &options.daemon,
+            folder,
+            i,
+            proxy_at[i],
+            [agents[2 * i], agents[2 * i + 1]],
+            doors[i].clone(),
+        )
+    });
     let slots = Rc::new(RefCell::new(slots.collect::<Vec<_>>()));
     let mut signals = Signals::new([Signal::Int, Signal::Term]).map_err(|e| format!("signals: {e}"))?;
     let started = async {
@@ -189,6 +202,9 @@
     stage.spawn(beat(Rc::clone(&late)));
     let samples = Rc::new(RefCell::new(Vec::new()));
     stage.spawn(sample(Rc::clone(&stage), Rc::clone(&samples), options.progress.clone()));
+    let counts_twice = options.planted == Some(Planted::CountsTwice);
+    let operators = Operators::new(counts_twice);
+    stage.spawn(Rc::clone(&operators).look(Rc::clone(&slots)));
     let end = stage.scenario.end();
     let over = async {
         while stage.now() < end {
@@ -196,7 +212,9 @@
         }
         None
     };
-    let failed = async { Some(daemons::keep(Rc::clone(&stage), Rc::clone(&slots), orders).await) };
+    let failed = async {
+        Some(daemons::keep(Rc::clone(&stage), Rc::clone(&slots), orders, Rc::clone(&operators)).await)
+    };
     let interrupted = async {
         signals.next().await;
         Some("interrupted".to_owned())
@@ -204,6 +222,7 @@
     if let Some(wrong) = over.or(failed).or(interrupted).await {
         return Err(wrong);
     }
+    operators.round(&slots).await;
     let usage: Vec<_> = slots.borrow_mut().iter_mut().map(Slot::usage).collect();
     // The daemons end before the stand-ins do, and nothing after this is judged.
     slots.borrow_mut().clear();
@@ -212,7 +231,7 @@
     world.clients.finish(now);
     let findings = audit(&stage.scenario, &world.book, end);
     let late = late.borrow();
-    Ok(Report::new(
+    let mut report = Report::new(
         &stage.scenario,
         options.seed,
         &world,
@@ -222,7 +241,11 @@
         samples.take(),
         (late.value_at_quantile(0.999), late.max()),
         late.max() > LATE.as_micros() as u64,
-    ))
+    );
+    if stage.scenario.proxies.doors {
+        report.unmet.extend(operators.findings(&report.rows));
+    }
+    Ok(report)
 }
 
 /// Measures how late the kit's own timers are.
--- a/crates/larklink-world/src/faults.rs
+++ b/crates/larklink-world/src/faults.rs
@@ -15,6 +15,8 @@
         back: Option<Time>,
     },
     Reload,
+    /// Another process takes over.
+    Replace,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -86,6 +88,7 @@
         Trouble::ProxyKilled => "proxy killed",
         Trouble::ProxyStopped => "proxy stopped",
         Trouble::ProxyReloaded => "proxy reloaded",
+        Trouble::ProxyReplaced => "proxy replaced",
         Trouble::ServerSilent => "server silent",
         Trouble::ServerPaused => "server paused",
         Trouble::ServerDied => "server died",
@@ -103,7 +106,7 @@
     use Trouble::*;
     let all: Vec<usize> = match fault.what {
         StoreSlow | ListLost | ListStill | ClientsDropped => return vec![0],
-        ProxyKilled | ProxyStopped | ProxyReloaded => (0..scenario.proxies.count).collect(),
+        ProxyKilled | ProxyStopped | ProxyReloaded | ProxyReplaced => (0..scenario.proxies.count).collect(),
         what => {
             let fits = |listed| listed != (what == ServersJoin);
             let servers = scenario.each_server().enumerate();
@@ -134,6 +137,7 @@
         }
         Trouble::ProxyStopped => events.push((at, Event::Proxy(proxy, Upon::Stop { back: lasts }))),
         Trouble::ProxyReloaded => events.push((at, Event::Proxy(proxy, Upon::Reload))),
+        Trouble::ProxyReplaced => events.push((at, Event::Proxy(proxy, Upon::Replace))),
         Trouble::ServerSilent => events.push((at, Event::Silence { server, until })),
         Trouble::ServerPaused => events.push((at, Event::Pause { server, until })),
         Trouble::ServerDied => {
--- a/crates/larklink-world/src/scenario.rs
+++ b/crates/larklink-world/src/scenario.rs
@@ -59,11 +59,13 @@
     pub zones: usize,
     pub memory_mb: u64,
     pub descriptors: usize,
+    /// Each has an operators' door, is asked for its figures, and can be replaced.
+    pub doors: bool,
 }
 
 impl Default for Proxies {
     fn default() -> Self {
-        Self { count: 3, zones: 1, memory_mb: 192, descriptors: 4096 }
+        Self { count: 3, zones: 1, memory_mb: 192, descriptors: 4096, doors: false }
     }
 }
 
@@ -274,6 +276,8 @@
     ProxyStopped,
     /// SIGHUP.
     ProxyReloaded,
+    /// Another process takes over from it while it serves.
+    ProxyReplaced,
     ServerSilent,
     ServerPaused,
     /// Dies; comes back cold after `for`, if that is given.
@@ -489,10 +493,13 @@
             wrong("at", format!("{} is not before the end, {}", f.at, self.length));
         }
         let count = match f.what {
-            ProxyKilled | ProxyStopped | ProxyReloaded => Some(self.proxies.count),
+            ProxyKilled | ProxyStopped | ProxyReloaded | ProxyReplaced => Some(self.proxies.count),
             StoreSlow | ListLost | ListStill | ClientsDropped => None,
             _ => Some(servers),
         };
+        if f.what == ProxyReplaced && !self.proxies.doors {
+            wrong("what", "a process is replaced only where proxies.doors = true".into());
+        }
         match (&f.which, f.share, count) {
             (Some(_), _, None) => wrong("which", "there is only one of it".into()),
             (Some(_), Some(_), _) => wrong("share", "either which or a share of them".into()),
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -216,7 +216,7 @@
                         self.hops.add(now + HOP, Hop::FromServer(server, conn, Say::Cut));
                     }
                 }
-                Deed::Listen { .. } | Deed::Proxy(_, Upon::Reload) => {}
+                Deed::Listen { .. } | Deed::Proxy(_, Upon::Reload | Upon::Replace) => {}
                 Deed::Client(act) => self.client(now, act),
                 Deed::Drop(ids) => ids.into_iter().for_each(|id| self.client_gone(now, id)),
                 Deed::Proxy(proxy, Upon::Kill) => self.end_proxy(now, proxy, false),
