--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::{span, tenths};
 use crate::events::{Event, Order, Queue};
-use crate::figures::{Answer, Figures};
+use crate::figures::{Answer, Figures, InProgress};
 use crate::handover::wire::Standing;
 use crate::handover::{Given, Heir};
 use crate::lines::{Head, Inbox, Word, head, with_wait, word};
@@ -154,7 +154,7 @@
             }
         };
         let head = head(&line).and_then(|h| {
-            let listener = self.listeners.iter().position(|l| l == h.listener).ok_or("no such listener")?;
+            let listener = self.listener(&h).ok_or("no such listener")?;
             match self.open.borrow().get(&h.id) {
                 // Its packets may come here by another way than before.
                 Some(&key) if !(h.mid_flow && key == h.key) => Err("the id of another that is open"),
@@ -168,10 +168,7 @@
                 (None, Reason::NoRoom)
             }
             Ok((head, listener)) => {
-                self.open.borrow_mut().insert(head.id, head.key);
-                let _named = Named(self, head.id);
-                let _in_progress = self.figures.taken();
-                let session = self.number();
+                let (session, _open) = self.enter(&head);
                 (Some(session), self.session(session, client, &line, head, listener).await)
             }
             Err(wrong) => {
@@ -266,16 +263,12 @@
 
     async fn inherit(&self, was: &Standing, client: &mut Client, link: Link) -> (Option<u32>, Reason) {
         let line = was.head.as_bytes();
-        let listener = |h: &Head<'_>| self.listeners.iter().position(|l| l == h.listener);
-        let Some((head, listener)) = head(line).ok().and_then(|h| listener(&h).map(|l| (h, l))) else {
+        let Some((head, listener)) = head(line).ok().and_then(|h| self.listener(&h).map(|l| (h, l))) else {
             tracing::warn!("a session without a first line was given");
             return (None, Reason::BadLine);
         };
         let ask = asks(&head, listener);
-        self.open.borrow_mut().insert(head.id, head.key);
-        let _named = Named(self, head.id);
-        let _in_progress = self.figures.taken();
-        let session = self.number();
+        let (session, _open) = self.enter(&head);
         let (sender, orders) = async_channel::bounded(4);
         let server = was.server;
         self.queue.send(Event::Stands { session, server, orders: sender }).await;
@@ -287,8 +280,15 @@
         (Some(session), self.standing(at, client, link, &orders).await)
     }
 
-    fn number(&self) -> u32 {
-        self.next.replace(self.next.get().wrapping_add(1))
+    /// The number of a session that comes in; it is open, and in progress, while the other is held.
+    fn enter(&self, head: &Head<'_>) -> (u32, (Named<'_>, InProgress)) {
+        self.open.borrow_mut().insert(head.id, head.key);
+        let session = self.next.replace(self.next.get().wrapping_add(1));
+        (session, (Named(self, head.id), self.figures.taken()))
+    }
+
+    fn listener(&self, head: &Head<'_>) -> Option<usize> {
+        self.listeners.iter().position(|l| l == head.listener)
     }
 
     /// A connection that stood at a server before the run goes there again.
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -6,16 +6,17 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use larklink_proxy::handover::wire::word;
 use larklink_proxy::room::Room;
 use rustix::process::{Pid, Signal, kill_process};
 
-const PATIENCE: Duration = Duration::from_secs(10);
+mod peer;
+use peer::{PATIENCE, Peer, open};
 
 /// A proxy's folder, address and configuration; its processes come and go.
 struct Proxy {
@@ -120,30 +121,6 @@
     }
 }
 
-struct Peer(BufReader<TcpStream>);
-
-impl Peer {
-    fn new(stream: TcpStream) -> Self {
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Self(BufReader::new(stream))
-    }
-
-    fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).unwrap();
-    }
-
-    fn hear(&mut self) -> String {
-        let mut line = String::new();
-        self.0.read_line(&mut line).unwrap();
-        line
-    }
-}
-
-fn open() -> String {
-    static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("OPEN {:x} 2 c=chat,t=acme,d=5000,g=3\r\n", NEXT.fetch_add(1, Relaxed))
-}
-
 /// A server that accepts every session, answers each line with the same line, and ends with the first that says
 /// so.
 fn echoes() -> SocketAddr {
@@ -197,7 +174,7 @@
 
 fn stands(proxy: &Proxy) -> Peer {
     let mut client = Peer::new(TcpStream::connect(proxy.listen).unwrap());
-    client.say(&open());
+    client.say(&open("c=chat,t=acme,d=5000,g=3"));
     assert_eq!((client.hear(), client.hear()), ("UP 1\r\n".into(), "LOAD 40\r\n".into()));
     client
 }
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -5,7 +5,6 @@
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -15,7 +14,8 @@
 use larklink_proxy::figures::Figures;
 use larklink_proxy::proxy::{self, Start};
 
-const PATIENCE: Duration = Duration::from_secs(10);
+mod peer;
+use peer::{PATIENCE, Peer, open};
 
 struct Proxy {
     address: SocketAddr,
@@ -40,15 +40,7 @@
     }
 }
 
-/// A line and the connection it came on.
-struct Peer(BufReader<TcpStream>);
-
 impl Peer {
-    fn new(stream: TcpStream) -> Self {
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Self(BufReader::new(stream))
-    }
-
     fn connect(to: SocketAddr, line: &str) -> Self {
         let mut peer = Self::new(TcpStream::connect(to).unwrap());
         peer.say(line);
@@ -59,17 +51,6 @@
         Self::new(listener.accept().unwrap().0)
     }
 
-    fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).unwrap();
-    }
-
-    /// The next line; nothing at the end.
-    fn hear(&mut self) -> String {
-        let mut line = String::new();
-        self.0.read_line(&mut line).unwrap();
-        line
-    }
-
     fn ends(&mut self) {
         let mut rest = Vec::new();
         self.0.read_to_end(&mut rest).unwrap();
@@ -151,12 +132,6 @@
     start(servers, nobody(), "proxy", 1024)
 }
 
-/// A first line with an id of its own, as each connection has.
-fn open(rest: &str) -> String {
-    static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("OPEN {:x} 2 {rest}\r\n", NEXT.fetch_add(1, Relaxed))
-}
-
 /// A client whose session stands at a server, both ends of it.
 fn standing(proxy: SocketAddr, listener: &TcpListener) -> (Peer, Peer) {
     standing_by(&open("c=chat,t=acme,d=2000,g=3"), proxy, listener)
--- a/crates/larklink-rehearse/src/daemons.rs
+++ b/crates/larklink-rehearse/src/daemons.rs
@@ -114,8 +114,23 @@
     /// The process that runs, by its proxy and start, and its door.
     pub fn door(&self) -> Option<((usize, u32), SocketAddr)> {
         self.process.as_ref()?;
-        let door = self.doors.get(self.now.starts as usize % self.doors.len().max(1))?;
-        Some(((self.number, self.now.starts), *door))
+        Some(((self.number, self.now.starts), self.latest_door()?))
+    }
+
+    fn latest_door(&self) -> Option<SocketAddr> {
+        self.doors.get(self.now.starts as usize % self.doors.len().max(1)).copied()
+    }
+
+    /// Whether it may still get ready after its start; else why not.
+    fn may_start(&mut self, until: Instant) -> Result<(), String> {
+        let proxy = self.number;
+        if let Some(status) = self.process.as_mut().and_then(Process::exited) {
+            return Err(format!("proxy {proxy} ended at its start ({status})\n{}", self.tail()));
+        }
+        if Instant::now() >= until {
+            return Err(format!("proxy {proxy} does not answer {READY:?} after its start\n{}", self.tail()));
+        }
+        Ok(())
     }
 
     fn config(&self) -> PathBuf {
@@ -148,7 +163,7 @@
         let log = File::options().create(true).append(true).open(self.log())?;
         let mut command = Command::new(&self.program);
         command.arg(self.config()).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-        if let Some(door) = self.doors.get(self.now.starts as usize % self.doors.len().max(1)) {
+        if let Some(door) = self.latest_door() {
             let own = self.folder.join(format!("proxy-{}", self.number));
             std::fs::create_dir_all(&own)?;
             command.env("ROUTER_CONSOLE", door.to_string()).env("TMPDIR", own);
@@ -254,13 +269,7 @@
     };
     let until = Instant::now() + READY;
     while !answers(listen).await {
-        let slot = &mut slots.borrow_mut()[proxy];
-        if let Some(status) = slot.process.as_mut().and_then(Process::exited) {
-            return Err(format!("proxy {proxy} ended at its start ({status})\n{}", slot.tail()));
-        }
-        if Instant::now() >= until {
-            return Err(format!("proxy {proxy} does not answer {READY:?} after its start\n{}", slot.tail()));
-        }
+        slots.borrow_mut()[proxy].may_start(until)?;
     }
     stage.world.borrow_mut().proxy_up(stage.now(), proxy);
     Ok(())
@@ -288,18 +297,7 @@
         if matches!(call(at, "/ready").await, Ok((200, _))) {
             break;
         }
-        {
-            let slot = &mut slots.borrow_mut()[proxy];
-            if let Some(status) = slot.process.as_mut().and_then(Process::exited) {
-                return Err(format!(
-                    "proxy {proxy}: the new process ended at its start ({status})\n{}",
-                    slot.tail()
-                ));
-            }
-            if Instant::now() >= until {
-                return Err(format!("proxy {proxy}: the new process is never ready\n{}", slot.tail()));
-            }
-        }
+        slots.borrow_mut()[proxy].may_start(until)?;
         Timer::after(TRIES_EVERY).await;
     }
     old.signal(Signal::TERM);
