Near servers, groups' breadth and silence by note where nothing can be probed

Now the first near server among six of the one ranking goes first, where the settings price a crossing no less than a move. The chance that two of a proxy's own sessions share a group tells the size of groups; a group of n servers' mean load starts at one of the ranking's first n, drawn.

The settings' zone, fees and dial timeouts are read for it; one that cannot be is told with its place.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -13,11 +13,13 @@
     discovery: String,
     domain: Domain,
     feedback: Feedback,
+    fees: Fees,
     grades: Vec<Grade>,
     group_size: u32,
     policy_limits: Limits,
     safety: Safety,
     weights: String,
+    zone: u16,
     zones: Vec<String>,
 }
 
@@ -35,6 +37,13 @@
     names: Vec<String>,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Fees {
+    cross_zone: f64,
+    moves: f64,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct Grade {
@@ -74,11 +83,13 @@
             discovery: "pushed".into(),
             domain: Domain::default(),
             feedback: Feedback::default(),
+            fees: Fees::default(),
             grades: Vec::new(),
             group_size: 0,
             policy_limits: Limits::default(),
             safety: Safety::default(),
             weights: "off".into(),
+            zone: 0,
             zones: Vec::new(),
         }
     }
@@ -112,7 +123,7 @@
 
 /// What a settings object says.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(from = "Info")]
+#[serde(try_from = "Info")]
 pub struct Facts {
     pub settings: Settings,
     /// The names of the listeners, in their order.
@@ -137,8 +148,34 @@
     }
 }
 
-impl From<Info> for Facts {
-    fn from(info: Info) -> Self {
+impl Info {
+    /// What is wrong with the figures, with its place.
+    fn wrong(&self) -> Option<String> {
+        let zones = self.zones.len();
+        if self.zone > 0 && usize::from(self.zone) >= zones {
+            return Some(format!(
+                "settings.zone: {} is no place among the {zones} in settings.zones",
+                self.zone
+            ));
+        }
+        let fees = [("cross_zone", self.fees.cross_zone), ("moves", self.fees.moves)];
+        if let Some((name, fee)) = fees.iter().find(|(_, fee)| !fee.is_finite() || *fee < 0.0) {
+            return Some(format!("settings.fees.{name}: {fee} is no price; it must be 0 or more"));
+        }
+        let short = self.grades.iter().position(|g| g.deadline_ns < 0)?;
+        Some(format!("settings.grades[{short}].deadline_ns: {} is under 0", self.grades[short].deadline_ns))
+    }
+}
+
+impl TryFrom<Info> for Facts {
+    type Error = String;
+
+    /// # Errors
+    /// A figure is out of range or contradicts another.
+    fn try_from(info: Info) -> Result<Self, String> {
+        if let Some(wrong) = info.wrong() {
+            return Err(wrong);
+        }
         let listeners = info.grades.iter().map(|g| Listener {
             kind: match (g.idempotency.as_str(), g.group.as_str()) {
                 ("idempotent", _) => Kind::Repeatable,
@@ -158,6 +195,10 @@
         let (limits, safety) = (&info.policy_limits, &info.safety);
         let at = |name| info.feedback.names.iter().position(|n| n == name);
         let (load_at, holds_at) = (at("x0"), at("inflight"));
+        let longest = info.grades.iter().map(|g| tenths(g.deadline_ns)).max().unwrap_or(0);
+        // A group that is split over zones costs servers in each: only where crossings cost no less than moves.
+        let (crossing, moves) = (info.fees.cross_zone, info.fees.moves);
+        let near = info.zones.len() > 1 && crossing > 0.0 && crossing >= moves;
         let settings = Settings {
             listeners: listeners.collect(),
             proxies: info.group_size,
@@ -176,11 +217,13 @@
             retry_after: limits.retry_after,
             probing: limits.probing,
             tells_load: limits.probing && load_at.is_some(),
+            zone: near.then_some(info.zone),
+            dial_timeout: longest,
             message_target: info.domain.message_aim_ns.iter().map(|&ns| tenths(ns)).min().unwrap_or(0),
         };
-        Self {
+        Ok(Self {
             settings,
-            longest: info.grades.iter().map(|g| tenths(g.deadline_ns)).max().unwrap_or(0),
+            longest,
             listeners: info.grades.into_iter().map(|g| g.name).collect(),
             zones: info.zones,
             report: info.feedback.names,
@@ -188,6 +231,6 @@
             holds_at,
             passes: info.domain.mode == "pass",
             tells_delay: info.domain.tells_delay,
-        }
+        })
     }
 }
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -200,3 +200,27 @@
     assert!(Facts::read(b"{}").is_ok_and(|f| f.listeners.is_empty()), "what is missing has a cautious value");
     assert!(Facts::read(b"[").is_err());
 }
+
+#[test]
+fn a_proxy_keeps_near_only_where_a_crossing_costs_no_less_than_a_move() {
+    let zone = |more: &str| {
+        Facts::read(format!(r#"{{"zone":1,"zones":["a","b"]{more}}}"#).as_bytes()).unwrap().settings.zone
+    };
+    assert_eq!(zone(""), None, "what is not priced is as before");
+    assert_eq!(zone(r#","fees":{"cross_zone":0.03,"moves":0.038}"#), None);
+    assert_eq!(zone(r#","fees":{"cross_zone":0.02,"moves":0.02}"#), Some(1));
+}
+
+#[test]
+fn settings_that_cannot_be_are_told_with_their_place() {
+    let wrong = |text: &str| Facts::read(text.as_bytes()).unwrap_err().to_string();
+    for (text, place) in [
+        (r#"{"zone":2,"zones":["a","b"]}"#, "settings.zone: 2 is no place among the 2"),
+        (r#"{"zone":"b"}"#, "expected u16 at line 1 column 11"),
+        (r#"{"fees":{"cross_zone":-0.1}}"#, "settings.fees.cross_zone: -0.1 is no price"),
+        (r#"{"fees":{"moves":"dear"}}"#, "expected f64"),
+        (r#"{"grades":[{},{"deadline_ns":-1}]}"#, "settings.grades[1].deadline_ns: -1 is under 0"),
+    ] {
+        assert!(wrong(text).contains(place), "{text}: {}", wrong(text));
+    }
+}
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -5,7 +5,7 @@
 //! seen (`stood`, `noted`, `probed`, `left`); after each call, and when [`Balancer::due`] has come, carry out
 //! what [`Balancer::chores`] returns. No call blocks. Its interface, plain values, is defined in `types.rs`.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -21,6 +21,9 @@
 const CLEARLY: f64 = 1.3;
 /// How far a session walks down its bucket's ranking past servers that are there but full.
 const WALK: usize = 3;
+/// Within so many of a ranking the first server of the proxy's own zone goes before the others: where a zone
+/// has few servers for its traffic, the rest of its buckets are spread over the other zones.
+const NEAR: usize = 2 * WALK;
 /// A server is probed after so many connect time-outs of silence, over the root of what it holds; where it
 /// then tells its load, after so many over what it holds, in sessions or mean loads, silent or not.
 const QUIET: u64 = 64;
@@ -31,8 +34,9 @@
 const SILENT: u32 = 2;
 /// Share of a silent server's sessions that is moved off it each connect time-out.
 const MOVED: f64 = 0.5;
-/// A draining server's leave evenly over so many, as it serves until it stops: all at once jam the store.
-const LEAVE: u64 = 10;
+/// A draining server's leave evenly over so many drain graces, as it serves until it stops: all at once jam
+/// the store. It may hurt where a drain is shorter: what is left then breaks and comes again all at once.
+const LEAVE: u64 = 5;
 /// A server counts as crowded when it tells that so much of what it can do is asked of it,
 const FULL: f64 = 0.6;
 /// and gives up sessions down to so much.
@@ -227,7 +231,10 @@
     servers: Vec<Server>,
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
-    table: BTreeMap<u64, Arc<[ServerIx]>>,
+    table: BTreeMap<u64, Vec<ServerIx>>,
+    /// How many of our sessions are of each bucket, and how many ordered pairs of them share one.
+    mates: Vec<u32>,
+    pairs: u64,
     /// The mean load that was told, and by how many notes.
     unit: f64,
     notes: f64,
@@ -263,6 +270,8 @@
             servers: Vec::new(),
             sessions: Slab::new(),
             table: BTreeMap::new(),
+            mates: vec![0; BUCKETS as usize],
+            pairs: 0,
             unit: 0.0,
             notes: 0.0,
             told: 0.0,
@@ -340,7 +349,7 @@
         self.let_go(server, load, phase);
         // Errors on two servers in turn point at the session store behind all of them, which every further
         // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts.
-        let fails = how == How::Error || how == How::Late && self.window.is_finite();
+        let fails = how == How::Error || how == How::Late && (!self.set.probing || self.window.is_finite());
         if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
             if self.window.is_infinite() {
                 self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
@@ -349,7 +358,7 @@
         }
         self.servers[server].ended(now, how, false);
         if over {
-            self.sessions.remove(ix);
+            self.remove(ix);
             return None;
         }
         Some(self.next(now, ix))
@@ -368,7 +377,7 @@
 
     /// The client has left, or was moved: the session is over.
     pub fn left(&mut self, ix: SessIx) {
-        let sess = self.sessions.try_remove(ix).unwrap_or_default();
+        let Some(sess) = self.remove(ix) else { return };
         if matches!(sess.phase, Phase::Dials | Phase::Stands) {
             self.let_go(sess.server, sess.load, sess.phase);
         }
@@ -398,8 +407,12 @@
             row.load += (sess.load - row.load) / MEMORY.sqrt();
         }
         let (change, half) = (sess.load - before, self.set.message_target / 2);
-        s.served(now, sess.sent);
         s.load = (s.load + change).max(0.0);
+        if matches!(note, Note::Delay(delay) if delay > self.set.dial_timeout) {
+            s.misses = SILENT - 1;
+            return s.ended(now, How::Late, true);
+        }
+        s.served(now, sess.sent);
         if let Note::Delay(delay) = note {
             // More for each doubling of what a message takes: what is piled up has to be worked off too.
             let slow = EASED * (delay as f64 / half as f64).log2().max(1.0);
@@ -498,7 +511,7 @@
             }
             let share = match s.told {
                 Some(told) if s.misses < SILENT && s.entry.state == State::Draining => {
-                    let left = (told + round * LEAVE).saturating_sub(now).max(round);
+                    let left = (told + self.set.drain_grace * LEAVE).saturating_sub(now).max(round);
                     round as f64 / left as f64
                 }
                 _ => MOVED,
@@ -583,9 +596,35 @@
             (0, key) | (key, _) => xxh3_64(&key.to_le_bytes()) % BUCKETS,
         };
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
+        let mates = &mut self.mates[bucket as usize];
+        (self.pairs, *mates) = (self.pairs + 2 * u64::from(*mates), *mates + 1);
         self.sessions.insert(Sess { ask, bucket, until, load, sent: now, ..Sess::default() })
     }
 
+    fn remove(&mut self, ix: SessIx) -> Option<Sess> {
+        let sess = self.sessions.try_remove(ix)?;
+        let mates = &mut self.mates[sess.bucket as usize];
+        (self.pairs, *mates) = (self.pairs - 2 * u64::from(*mates - 1), *mates - 1);
+        Some(sess)
+    }
+
+    /// How many servers of mean load a bucket's sessions make at all proxies together. One in hundreds, with a
+    /// few sessions, knows the size of groups by how often two of its own share one.
+    fn breadth(&self, bucket: u64) -> usize {
+        let (all, mates) = (self.sessions.len() as f64, f64::from(self.mates[bucket as usize]));
+        let share = mates / (all - 1.0 + all * (all - 1.0) / self.pairs as f64);
+        (share * self.servers.iter().filter(|s| s.ready()).count() as f64) as usize
+    }
+
+    /// Of the first servers of a ranking, the first that is near goes before the others.
+    fn near_first(&self, mut ranking: Vec<ServerIx>) -> Vec<ServerIx> {
+        let near = |ix: &ServerIx| self.set.zone == Some(self.servers[*ix].entry.zone);
+        if let Some(n) = ranking.iter().take(NEAR).position(near) {
+            ranking[..=n].rotate_right(1);
+        }
+        ranking
+    }
+
     /// The servers in the order of their claims on a bucket.
     fn rank(&self, bucket: u64, keep: impl Fn(&Server) -> bool) -> Vec<ServerIx> {
         let mut claims: Vec<_> = (self.servers.iter().filter(|s| keep(s)))
@@ -631,7 +670,7 @@
             return Verdict::Dial { server, limit };
         }
         // The final answer: a refusal where that is true.
-        self.sessions.remove(ix);
+        self.remove(ix);
         let harmless = matches!(kind, Kind::Repeatable | Kind::Referenced { group: Group::All, .. });
         if !harmless && sess.may_have_run.is_some() {
             return Verdict::TearDown;
@@ -660,25 +699,27 @@
                 Some(t) => now <= t + keep,
                 None => s.ready() && (s.joined == 0 || s.joined + keep <= now),
             };
-            let owner = self.rank(sess.bucket, earlier).first().copied();
+            let owner = self.near_first(self.rank(sess.bucket, earlier)).first().copied();
             if owner.is_some_and(|ix| self.servers[ix].misses < SILENT) {
                 return owner;
             }
         }
         if !self.table.contains_key(&sess.bucket) {
-            self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready).into());
+            self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
+        }
+        let mut ranking = self.near_first(self.table[&sess.bucket].clone());
+        let breadth = self.breadth(sess.bucket).min(ranking.len());
+        if breadth > 1 && !self.set.tells_load {
+            ranking[..breadth].rotate_left(self.rng.random_range(0..breadth));
         }
-        let ranking = Arc::clone(&self.table[&sess.bucket]);
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
-        let (mean, servers) = (load / weight, ranking.len() as f64);
+        let mean = load / weight;
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
         for &ix in ranking.iter() {
             // Each server that holds any of a group pays for it, so a crowd must not scatter its groups: the
             // walk ends early. A group as large as several servers' mean load may walk on by twice as many.
-            let group = || self.sessions.iter().filter(|(_, x)| x.bucket == sess.bucket);
-            let larger = || 2.0 * group().map(|(_, x)| x.load).sum::<f64>() * servers / load.max(1.0);
-            if full >= WALK && full >= WALK + larger() as usize {
+            if full >= WALK + 2 * breadth {
                 break;
             }
             if !self.allowed(now, sess, ix) || !self.within_budget(now, sess, ix, (load, weight)) {
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -60,6 +60,10 @@
     pub probing: bool,
     /// The answer to a probe tells the load asked of the server over what it can do.
     pub tells_load: bool,
+    /// The zone of this proxy; none where there is but one, or where a crossing is cheaper than a move.
+    pub zone: Option<u16>,
+    /// The longest time for which any client waits to be accepted.
+    pub dial_timeout: Time,
     /// The shortest time within which any listener wants a message.
     pub message_target: Time,
 }
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -34,6 +34,8 @@
         retry_after: true,
         probing: false,
         tells_load: false,
+        zone: None,
+        dial_timeout: 2 * SECOND,
         message_target: 500,
     }
 }
@@ -710,7 +712,7 @@
     let there = placed.iter().filter(|(_, verdict)| dialled(*verdict) == 0).count();
     b.heard_list(SECOND, Scope::Changes, &[entry(0, State::Draining, 0)]);
     let (mut moved, mut most) = (0, 0);
-    for n in 5..=16 {
+    for n in 5..=18 {
         let now: Vec<_> =
             b.chores(n * SECOND / 5).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
         now.iter().for_each(|c| {
@@ -836,3 +838,74 @@
     assert!(b.due() < SECOND + set.must_ask_in);
     assert!(b.chores(SECOND + set.must_ask_in).contains(&Chore::Subscribe));
 }
+
+/// The server of a session's first dial, at a proxy of that zone, drawn anew for each seed.
+fn first_of(zone: Option<u16>, ask: Session) -> ServerIx {
+    dialled(fleet(Settings { zone, ..settings() }, 12).place(0, ask).1)
+}
+
+#[test]
+fn a_proxy_takes_the_first_near_server_of_the_one_ranking() {
+    let near = |zone, key| entry(first_of(Some(zone), ask(key, 0)), State::Ready, 0).zone == zone;
+    // Six of a ranking are looked at: with half of the servers near, one key in 64 finds none.
+    assert!((1..200).all(|key| near(0, key) || near(1, key)), "the owner is near to one of the two");
+    assert!((1..200).filter(|key| near(0, *key)).count() > 190);
+    assert_eq!(
+        first_of(None, ask(5, 0)),
+        first_of(Some(2), ask(5, 0)),
+        "a zone without servers goes by the table"
+    );
+    let late = |key| Session { mid_flow: true, ..ask(key, 0) };
+    (1..200).for_each(|key| assert_eq!(first_of(Some(1), ask(key, 0)), first_of(Some(1), late(key))));
+}
+
+/// 150 proxies of ten sessions each: nobody sees that all go to one owner, which bears an eighth of them.
+#[test]
+fn hundreds_of_proxies_spread_a_group_that_is_larger_than_a_server() {
+    let most = |group: fn(u64) -> u64, set: Settings| {
+        let mut held = [0; 8];
+        for seed in 0..150 {
+            let mut b = Balancer::new(set.clone(), seed, 0);
+            b.heard_list(0, Scope::Cached, &(0..8).map(|s| entry(s, State::Ready, 0)).collect::<Vec<_>>());
+            (0..10).for_each(|n| held[dialled(b.place(0, ask(group(seed * 10 + n), 0)).1)] += 1);
+        }
+        held.into_iter().max().unwrap()
+    };
+    let told = most(|_| 3, Settings { tells_load: true, ..settings() });
+    let spread = most(|_| 3, settings());
+    assert!(spread < 350 && told > 400, "{spread} of 1500 on one server, {told} where loads are told");
+    assert_eq!(
+        first_of(None, ask(5, 0)),
+        dialled(fleet(settings(), 12).place(9, ask(5, 0)).1),
+        "not one alone"
+    );
+}
+
+#[test]
+fn a_message_longer_than_any_client_waits_tells_of_a_silent_server() {
+    let mut b = fleet(settings(), 4);
+    let (ix, _) = b.place(0, ask(3, 0));
+    b.stood(10, ix);
+    let moves = |b: &mut Balancer, from| {
+        (from..from + 8).any(|n| b.chores(n * SECOND / 5).contains(&Chore::Move(ix)))
+    };
+    b.noted(SECOND, ix, Note::Delay(3 * SECOND));
+    b.noted(SECOND + 10, ix, Note::Delay(10));
+    assert!(!moves(&mut b, 5), "it serves again");
+    b.noted(4 * SECOND, ix, Note::Delay(3 * SECOND));
+    assert!(moves(&mut b, 20));
+}
+
+#[test]
+fn late_dials_in_turn_hold_back_others_only_where_nothing_can_be_probed() {
+    let refused = |probing| {
+        let mut b = fleet(Settings { probing, ..settings() }, 8);
+        let placed: Vec<_> = (1..31).map(|key| b.place(0, ask(key, 0)).0).collect();
+        for ix in &placed {
+            b.chores(SECOND);
+            b.settled(2 * SECOND, *ix, How::Late, false);
+        }
+        (31..61).filter(|key| matches!(b.place(2 * SECOND, ask(*key, 0)).1, Verdict::Refuse { .. })).count()
+    };
+    assert!(refused(false) > 20 && refused(true) == 0, "{} {}", refused(false), refused(true));
+}
