--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -104,14 +104,11 @@
     excess: f64,
     /// The most load of ours that it bears, learned when it was crowded.
     cap: f64,
-    /// Dials out to it, and how many may be while it is fresh: one more for each answer.
-    out: f64,
-    trust: f64,
 }
 
 impl Server {
     fn new() -> Self {
-        Self { good: 2.0, bad: 1.0, cap: f64::INFINITY, trust: f64::INFINITY, ..Self::default() }
+        Self { good: 2.0, bad: 1.0, cap: f64::INFINITY, ..Self::default() }
     }
 
     fn ready(&self) -> bool {
@@ -133,11 +130,8 @@
     /// A sign of life: the process answers. It may take connections and drop them, so this is no success.
     fn heard(&mut self, now: Time) {
         self.forget(if self.misses > 0 { 0.5 } else { 0.0 });
-        if self.misses >= SILENT {
-            self.trust = 1.0;
-        }
         if std::mem::take(&mut self.down) {
-            (self.trust, self.back) = (1.0, now);
+            self.back = now;
         }
         (self.heard, self.misses) = (now, 0);
     }
@@ -172,7 +166,7 @@
     /// Its process has started anew: what was learned of the old one is void.
     fn restart(&mut self, now: Time) {
         (self.bad, self.misses, self.heard, self.crowded) = (1.0, 0, now, 0);
-        (self.cap, self.trust) = (f64::INFINITY, 1.0);
+        self.cap = f64::INFINITY;
     }
 
     fn take(&mut self, load: f64) {
@@ -370,9 +364,7 @@
         sess.phase = Phase::Stands;
         self.out -= 1.0;
         self.window += self.window.min(1.0 / self.window);
-        let s = &mut self.servers[sess.server];
-        (s.out, s.trust) = (s.out - 1.0, s.trust + 1.0);
-        s.heard(now);
+        self.servers[sess.server].heard(now);
     }
 
     /// The client has left, or was moved: the session is over.
@@ -385,9 +377,9 @@
 
     /// A dial or a connection of ours is no more.
     fn let_go(&mut self, server: ServerIx, load: f64, phase: Phase) {
-        let (s, dials) = (&mut self.servers[server], f64::from(u8::from(phase == Phase::Dials)));
-        self.out -= dials;
-        (s.held, s.out) = (s.held.saturating_sub(1), s.out - dials);
+        self.out -= f64::from(u8::from(phase == Phase::Dials));
+        let s = &mut self.servers[server];
+        s.held = s.held.saturating_sub(1);
         s.load = if s.held == 0 { 0.0 } else { (s.load - load).max(0.0) };
     }
 
@@ -662,9 +654,7 @@
             // that are made again: only one to a server in doubt leaves room for another.
             let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
-            let s = &mut self.servers[server];
-            s.take(sess.load);
-            s.out += 1.0;
+            self.servers[server].take(sess.load);
             let x = &mut self.sessions[ix];
             (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
             return Verdict::Dial { server, limit };
@@ -726,7 +716,7 @@
                 continue;
             }
             let s = &self.servers[ix];
-            if s.load + sess.load > s.cap || s.out >= s.trust {
+            if s.load + sess.load > s.cap {
                 full += 1;
                 continue;
             }
