Who comes again to a cold server counts by the size of his group, not by a root

The root stood for a large group that moves whole. How large a group is, a proxy's own sessions tell; two pairs are thought unseen, so that a proxy of few sessions is as careful as before.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -68,6 +68,8 @@
 const WARY: f64 = 3.0;
 /// And at most this share of what makes it fall over within the span in which that is counted.
 const BURST: f64 = 0.5;
+/// Pairs of our own sessions in one group that are thought unseen, where a group comes again at once.
+const UNSEEN: u64 = 2;
 /// The most successes that speak for a server.
 const TRUSTED: f64 = 8.0;
 
@@ -115,8 +117,8 @@
         self.entry.state == State::Ready
     }
 
-    /// It is to get nothing new. Where only drains bind, one that the list has merely lost keeps what it holds
-    /// until our own evidence speaks against it. It leaves the table, which the list alone makes.
+    /// It is to get nothing new. Where only drains bind, one that the list has merely lost keeps what stands
+    /// there until our own evidence speaks against it. It leaves the table, which the list alone makes.
     fn barred(&self, only_drains: bool) -> bool {
         !self.ready() && (self.drained || !only_drains)
     }
@@ -130,9 +132,7 @@
     /// A sign of life: the process answers. It may take connections and drop them, so this is no success.
     fn heard(&mut self, now: Time) {
         self.forget(if self.misses > 0 { 0.5 } else { 0.0 });
-        if std::mem::take(&mut self.down) {
-            self.back = now;
-        }
+        self.back = if std::mem::take(&mut self.down) { now } else { self.back };
         (self.heard, self.misses) = (now, 0);
     }
 
@@ -165,8 +165,7 @@
 
     /// Its process has started anew: what was learned of the old one is void.
     fn restart(&mut self, now: Time) {
-        (self.bad, self.misses, self.heard, self.crowded) = (1.0, 0, now, 0);
-        self.cap = f64::INFINITY;
+        (self.bad, self.misses, self.heard, self.crowded, self.cap) = (1.0, 0, now, 0, f64::INFINITY);
     }
 
     fn take(&mut self, load: f64) {
@@ -342,7 +341,8 @@
         }
         self.let_go(server, load, phase);
         // Errors on two servers in turn point at the session store behind all of them, which every further
-        // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts.
+        // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts,
+        // but where nothing can be probed they are the first word. It may hurt while two servers hang.
         let fails = how == How::Error || how == How::Late && (!self.set.probing || self.window.is_finite());
         if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
             if self.window.is_infinite() {
@@ -353,9 +353,8 @@
         self.servers[server].ended(now, how, false);
         if over {
             self.remove(ix);
-            return None;
         }
-        Some(self.next(now, ix))
+        (!over).then(|| self.next(now, ix))
     }
 
     /// The dial's connection stands.
@@ -401,6 +400,7 @@
         let (change, half) = (sess.load - before, self.set.message_target / 2);
         s.load = (s.load + change).max(0.0);
         if matches!(note, Note::Delay(delay) if delay > self.set.dial_timeout) {
+            // No client would be accepted there in time: as silent as one that answers no probe.
             s.misses = SILENT - 1;
             return s.ended(now, How::Late, true);
         }
@@ -600,12 +600,11 @@
         Some(sess)
     }
 
-    /// How many servers of mean load a bucket's sessions make at all proxies together. One in hundreds, with a
-    /// few sessions, knows the size of groups by how often two of its own share one.
-    fn breadth(&self, bucket: u64) -> usize {
+    /// What share of all sessions, at all proxies together, are of a bucket. One in hundreds, with a few of
+    /// them, knows the size of groups by how often two of its own share one, and if so many pairs more did.
+    fn share(&self, bucket: u64, more: u64) -> f64 {
         let (all, mates) = (self.sessions.len() as f64, f64::from(self.mates[bucket as usize]));
-        let share = mates / (all - 1.0 + all * (all - 1.0) / self.pairs as f64);
-        (share * self.servers.iter().filter(|s| s.ready()).count() as f64) as usize
+        mates / ((all - 1.0).max(1.0) * (1.0 + all / (2 * more + self.pairs) as f64))
     }
 
     /// Of the first servers of a ranking, the first that is near goes before the others.
@@ -698,7 +697,8 @@
             self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
         }
         let mut ranking = self.near_first(self.table[&sess.bucket].clone());
-        let breadth = self.breadth(sess.bucket).min(ranking.len());
+        // Its group makes the mean load of so many servers: it starts at any where they tell no load.
+        let breadth = (self.share(sess.bucket, 0) * ranking.len() as f64) as usize;
         if breadth > 1 && !self.set.tells_load {
             ranking[..breadth].rotate_left(self.rng.random_range(0..breadth));
         }
@@ -771,8 +771,9 @@
         let pace = (WARY / cold as f64).min(BURST / self.set.overload_for.max(1) as f64);
         let rate = pace * self.set.fall_multiple * fill;
         // A large group that broke or was moved comes again all at once, and to one server: where none can be
-        // asked first, nothing else tells a proxy of a session or two.
+        // asked, a proxy with a session or two of it takes care until it has seen that groups are small.
         let (share, burst) = (self.weight(s) / weight, sess.ask.again && !self.set.probing);
-        rate * sess.turn >= if burst { share.sqrt() } else { share } && s.load < fill + 1.0
+        let group = if burst { self.share(sess.bucket, UNSEEN) } else { 0.0 };
+        rate * sess.turn >= share.max(group) && s.load < fill + 1.0
     }
 }
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -791,14 +791,14 @@
 /// Two hundred proxies hear of a new server as a group moves there whose sessions were sent away, one to each.
 #[test]
 fn a_group_that_comes_again_does_not_push_its_new_server_over() {
-    let sends = |again| {
+    let sends = |again, others| {
         let set = Settings { proxies: 200, ..settings() };
         let key = (1..).find(|key| dialled(fleet(set.clone(), 30).place(0, ask(*key, 0)).1) == 0).unwrap();
         let proxy = |seed| {
             let mut b = Balancer::new(set.clone(), seed, 0);
             let listed: Vec<_> = (1..30).map(|s| entry(s, State::Ready, 0)).collect();
             b.heard_list(0, Scope::Cached, &listed);
-            (1..5).for_each(|n| _ = b.place(n, ask(1000 * seed + n, 0)));
+            (1..=others).for_each(|n| _ = b.place(n, ask(1000 * seed + n, 0)));
             let now = 60 * SECOND;
             b.heard_list(now, Scope::Changes, &[entry(0, State::Ready, now - SECOND)]);
             dialled(b.place(now + SECOND, Session { again, ..ask(key, 0) }).1) == 0
@@ -806,9 +806,12 @@
         (1..201).filter(|seed| proxy(*seed)).count()
     };
     // 800 sessions on 29 servers: a fifth of a server's 27 is six, which four times over makes it fall.
-    let (again, new) = (sends(true), sends(false));
+    let (again, new) = (sends(true, 4), sends(false, 4));
     assert!(again <= 24, "{again} at once to a server that has just started");
     assert!(new > 2 * again, "{new} that come anew are spread over all servers, which needs no such care");
+    // A fleet that has only small groups: new servers stood idle beside crowded ones, since most come again.
+    let (again, new) = (sends(true, 20), sends(false, 20));
+    assert!(again * 2 > new, "{again} of {new}, where twenty sessions of a proxy share no group");
 }
 
 /// It died and came back cold, and the list says nothing of it: who saw a connection fail treats it as new. A line
