Slow set-ups do not open the window on dials where nothing can be probed

A set-up of a third of its client's patience or more leaves the window as it is.

Where probes are allowed nothing changes.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -21,8 +21,7 @@
 const CLEARLY: f64 = 1.3;
 /// How far a session walks down its bucket's ranking past servers that are there but full.
 const WALK: usize = 3;
-/// Within so many of a ranking the first server of the proxy's own zone goes before the others: where a zone
-/// has few servers for its traffic, the rest of its buckets are spread over the other zones.
+/// The first near server among so many of a ranking goes first; not among all, as a zone may have too few.
 const NEAR: usize = 2 * WALK;
 /// A server is probed after so many connect time-outs of silence, over the root of what it holds; where it
 /// then tells its load, after so many over what it holds, in sessions or mean loads, silent or not.
@@ -362,7 +361,9 @@
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
         self.out -= 1.0;
-        self.window += self.window.min(1.0 / self.window);
+        // One that took long shows that the store is behind: with more dials all would wait longer.
+        let prompt = self.set.probing || (now - sess.sent) * 3 < sess.ask.patience;
+        self.window += if prompt { self.window.min(1.0 / self.window) } else { 0.0 };
         self.servers[sess.server].heard(now);
     }
 
@@ -704,7 +705,6 @@
         }
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
-        let mean = load / weight;
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
         for &ix in ranking.iter() {
             // Each server that holds any of a group pays for it, so a crowd must not scatter its groups: the
@@ -722,7 +722,7 @@
             }
             // A client that comes again after a break or a move tells of a crowd that this proxy has not met.
             let unmet = sess.ask.again && sess.dials == 0 && s.held == 0 && !self.set.tells_load;
-            let most = CLEARLY * mean * self.weight(s) + 1.0;
+            let most = CLEARLY * load / weight * self.weight(s) + 1.0;
             let over = s.crowded > now || s.load >= most || unmet && self.rng.random_bool(AGAIN * self.hope);
             // A doubtful server's work is drawn from the posterior of its chance of success.
             let chance = Beta::new(s.good, s.bad).expect("both above 0");
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -912,3 +912,19 @@
     };
     assert!(refused(false) > 20 && refused(true) == 0, "{} {}", refused(false), refused(true));
 }
+
+#[test]
+fn a_set_up_that_took_long_does_not_open_the_window_where_nothing_can_be_probed() {
+    let dialled_after = |took| {
+        let mut b = fleet(settings(), 8);
+        let placed: Vec<_> = (1..41).map(|key| b.place(0, ask(key, 0)).0).collect();
+        placed[..20].iter().for_each(|ix| _ = b.settled(100, *ix, How::Late, false));
+        placed[20..].iter().for_each(|ix| b.stood(took, *ix));
+        (100..140).filter(|key| matches!(b.place(took, ask(*key, 0)).1, Verdict::Dial { .. })).count()
+    };
+    let (prompt, long) = (dialled_after(100), dialled_after(SECOND));
+    assert!(
+        long * 2 < prompt,
+        "{long} dials after set-ups of half a client's patience, {prompt} after prompt ones"
+    );
+}
