Without a told dial timeout no delay makes a server silent

Seen on reading the change again: a configuration whose listeners name no `deadline_ns` has a longest dial timeout of 0, and each told delay would have counted as a missed sign of life (`noted`). None is told as no bound now.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -215,7 +215,7 @@
             probing: limits.probing,
             tells_load: limits.probing && load_at.is_some(),
             zone: near.then_some(info.zone),
-            dial_timeout: longest,
+            dial_timeout: if longest > 0 { longest } else { Time::MAX },
             message_target: info.domain.message_aim_ns.iter().map(|&ns| tenths(ns)).min().unwrap_or(0),
         };
         Ok(Self {
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -198,6 +198,8 @@
     assert_eq!((set.connect_timeout, set.message_target, set.drain_grace), (2_500, 500, 5_000));
     assert_eq!(set.listeners[1].kind, Kind::OnceOnly);
     assert!(Facts::read(b"{}").is_ok_and(|f| f.listeners.is_empty()), "what is missing has a cautious value");
+    // At 0 each told delay would have made its server silent.
+    assert_eq!((set.dial_timeout, Facts::read(b"{}").unwrap().settings.dial_timeout), (30_000, Time::MAX));
     assert!(Facts::read(b"[").is_err());
 }
 
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -62,7 +62,7 @@
     pub tells_load: bool,
     /// The zone of this proxy; none where there is but one, or where a crossing is cheaper than a move.
     pub zone: Option<u16>,
-    /// The longest time for which any client waits to be accepted.
+    /// The longest time for which any client waits to be accepted; `Time::MAX` where none is told.
     pub dial_timeout: Time,
     /// The shortest time within which any listener wants a message.
     pub message_target: Time,
