From reading the change again: moved proxies and shares of shapes told in one place

Seen on reading the whole change: which proxies are of the moved shape was worked out in `simulate::settings` and again in `audit`; the names of the two shapes stood in the report and in larkctl, the share accepted in the report and in the test; `Config::read` had the same closure for its errors three times and a fourth beside them. Now `Scenario::moved`, `Shape::NAMES`, `Shape::share` and one closure.

Nothing behaves otherwise; assertions, bounds and messages are as they were.

--- a/crates/larkctl/src/rehearse.rs
+++ b/crates/larkctl/src/rehearse.rs
@@ -7,6 +7,7 @@
 use larklink_rehearse::plots;
 use larklink_rehearse::report::Report;
 use larklink_rehearse::run::{self, Options};
+use larklink_world::audit::Shape;
 use larklink_world::scenario::Scenario;
 
 /// The scenarios that ship with the daemon, by name.
@@ -194,7 +195,7 @@
             u.starts
         );
     }
-    for (shape, name) in report.shapes.iter().zip(["old", "moved"]).filter(|(shape, _)| shape.opened > 0) {
+    for (shape, name) in report.shapes.iter().zip(Shape::NAMES).filter(|(shape, _)| shape.opened > 0) {
         println!("proxies of the {name} shape: {} of {} sessions accepted", shape.accepted, shape.opened);
     }
     println!("store: {} calls, {} failed", report.store_calls, report.store_failed);
--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -1,4 +1,5 @@
 //! What a proxy is told at its start: one JSON file.
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -46,13 +47,13 @@
 
 impl Config {
     pub fn read(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let wrong = |what: &dyn Display| format!("{}: {what}", path.display());
+        let text = std::fs::read(path).map_err(|e| wrong(&e))?;
         let mut text = serde_json::Deserializer::from_slice(&text);
-        let config: Self =
-            serde_path_to_error::deserialize(&mut text).map_err(|e| format!("{}: {e}", path.display()))?;
-        text.end().map_err(|e| format!("{}: {e}", path.display()))?;
+        let config: Self = serde_path_to_error::deserialize(&mut text).map_err(|e| wrong(&e))?;
+        text.end().map_err(|e| wrong(&e))?;
         if config.settings.listeners.is_empty() {
-            return Err(format!("{}: the settings name no listener", path.display()));
+            return Err(wrong(&"the settings name no listener"));
         }
         Ok(config)
     }
--- a/crates/larklink-proxy/tests/shapes.rs
+++ b/crates/larklink-proxy/tests/shapes.rs
@@ -11,7 +11,7 @@
         let text =
             TROUBLED.replace("count = 2\n[[servers]]", &shape).replace("which = [1, 2]", "which = [1]");
         let report = rehearse(&(text + more), 1, None);
-        let share = report.shapes.map(|s| s.accepted as f64 / s.opened.max(1) as f64);
+        let share = report.shapes.map(|s| s.share());
         (report, share)
     };
     let (report, [alone, none]) = fleet(0, "");
--- a/crates/larklink-rehearse/src/report.rs
+++ b/crates/larklink-rehearse/src/report.rs
@@ -150,8 +150,8 @@
         if let Some(least) = scenario.must.accepted.filter(|&least| share < least) {
             unmet.push(format!("{share:.3} of the sessions accepted, {least} asked for"));
         }
-        for (shape, name) in findings.shapes.iter().zip(["old", "moved"]) {
-            let share = shape.accepted as f64 / (shape.opened as f64).max(1.0);
+        for (shape, name) in findings.shapes.iter().zip(Shape::NAMES) {
+            let share = shape.share();
             if let Some(least) = scenario.must.each_shape.filter(|&least| share < least) {
                 unmet.push(format!("{share:.3} accepted at proxies of the {name} shape, {least} asked for"));
             }
--- a/crates/larklink-world/src/audit.rs
+++ b/crates/larklink-world/src/audit.rs
@@ -96,6 +96,16 @@
     pub accepted: u64,
 }
 
+impl Shape {
+    /// What the two are called, in the order of [`Findings::shapes`].
+    pub const NAMES: [&str; 2] = ["old", "moved"];
+
+    /// The share of the sessions that were accepted; 0 where none came.
+    pub fn share(&self) -> f64 {
+        self.accepted as f64 / self.opened.max(1) as f64
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Findings {
     pub listeners: Vec<Answers>,
@@ -195,8 +205,7 @@
         let to = &mut listeners[session.ask.listener];
         let before = to.accepted;
         auditor.judge(id, &session, end, to);
-        let shape =
-            &mut shapes[usize::from(session.proxy + scenario.proxies.moved >= scenario.proxies.count)];
+        let shape = &mut shapes[usize::from(scenario.moved(session.proxy))];
         (shape.opened, shape.accepted) = (shape.opened + 1, shape.accepted + to.accepted - before);
         auditor.dials(id, &session);
     }
--- a/crates/larklink-world/src/scenario.rs
+++ b/crates/larklink-world/src/scenario.rs
@@ -370,6 +370,11 @@
         self.servers.iter().map(|s| s.get_ref().count).sum()
     }
 
+    /// Whether the proxy of that number is one of the moved shape.
+    pub fn moved(&self, proxy: usize) -> bool {
+        proxy + self.proxies.moved >= self.proxies.count
+    }
+
     /// The name of the zone in which the proxy or server of that number lies.
     pub fn zone(&self, number: usize) -> String {
         char::from(b'a' + (number % self.proxies.zones) as u8).to_string()
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -100,7 +100,7 @@
             "aim_ns": ns(l.handshake_target.0), "deadline_ns": ns(l.dial_timeout.0)})
     });
     let targets: Vec<_> = scenario.listeners.iter().map(|l| ns(l.get_ref().line_target.0)).collect();
-    let moved = proxy + scenario.proxies.moved >= scenario.proxies.count;
+    let moved = scenario.moved(proxy);
     let (rules, some) = (&scenario.rules, scenario.servers[0].get_ref());
     serde_json::json!({
         "discovery": "pushed",
