Further dials are rationed by a sliding count and spread over its window

A session went down its ranking up to its own limit whatever the proxy had spent; nothing counted (balancer.rs, next). The count now slides over the window, sessions taken and dials in it, so no window can hold more, wherever it begins. A dial keeps a distance of the window over the ration from the one before, half of it for who is worth most, so a storm leaves some for the end. Who may not dial again is answered at once. A process that takes over has no free part until the old one's dials have left the window.

--- a/crates/larklink-core/src/core.rs
+++ b/crates/larklink-core/src/core.rs
@@ -80,6 +80,11 @@
         self.balancer.list_failed(now);
     }
 
+    /// This process has taken over from another one of the same proxy, which may still dial.
+    pub fn succeeds(&mut self, now: Time) {
+        self.balancer.succeeds(now);
+    }
+
     /// A session has come in: where it goes.
     pub fn open(&mut self, now: Time, session: u32, ask: Session) -> Option<Action> {
         let (handle, verdict) = self.balancer.place(now, ask);
--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -1,5 +1,5 @@
 //! The settings object of a proxy, from JSON to the module's plain values and what its protocols need.
-use larklink::types::{Group, Kind, Listener, Settings, Time};
+use larklink::types::{Group, Kind, Listener, Nines, Ration, Settings, Time};
 use serde::Deserialize;
 
 /// Nanoseconds to whole tenths of a millisecond, rounded down.
@@ -17,6 +17,7 @@
     grades: Vec<Grade>,
     group_size: u32,
     policy_limits: Limits,
+    result_mix: Mix,
     safety: Safety,
     weights: String,
     zone: u16,
@@ -49,12 +50,20 @@
 struct Grade {
     aim_ns: i64,
     deadline_ns: i64,
+    gain: f64,
     group: String,
     idempotency: String,
     name: String,
     window_ns: i64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Mix {
+    nines_part: Option<f64>,
+    top_nines: Option<f64>,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -68,8 +77,11 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Safety {
+    budget_free: Option<f64>,
     cold_ns: i64,
+    counted_over_ns: Option<i64>,
     drain_grace_ns: i64,
+    extra_per_request: Option<f64>,
     fall_multiple: f64,
     must_ask_in_ns: i64,
     overload_for_ns: i64,
@@ -87,6 +99,7 @@
             grades: Vec::new(),
             group_size: 0,
             policy_limits: Limits::default(),
+            result_mix: Mix::default(),
             safety: Safety::default(),
             weights: "off".into(),
             zone: 0,
@@ -110,8 +123,11 @@
 impl Default for Safety {
     fn default() -> Self {
         Self {
+            budget_free: None,
             cold_ns: 0,
+            counted_over_ns: None,
             drain_grace_ns: 0,
+            extra_per_request: None,
             fall_multiple: 1.0,
             must_ask_in_ns: 10_000_000_000,
             overload_for_ns: 1_000_000_000,
@@ -148,6 +164,55 @@
     }
 }
 
+impl Safety {
+    /// The ration of further dials, where all of it is told.
+    ///
+    /// # Errors
+    /// A part of it is told without the rest, or is no ration.
+    fn ration(&self) -> Result<Option<Ration>, String> {
+        let parts = (self.budget_free, self.extra_per_request, self.counted_over_ns);
+        let (Some(free), Some(share), Some(over)) = parts else {
+            let told = [
+                ("budget_free", self.budget_free.is_some()),
+                ("extra_per_request", self.extra_per_request.is_some()),
+                ("counted_over_ns", self.counted_over_ns.is_some()),
+            ];
+            let lacks =
+                told.iter().find(|(_, there)| !there).filter(|_| told.iter().any(|(_, there)| *there));
+            return lacks.map_or(Ok(None), |(name, _)| {
+                Err(format!("safety.{name}: missing, though other parts of the budget of dials are there"))
+            });
+        };
+        let amounts = [("budget_free", free), ("extra_per_request", share)];
+        if let Some((name, x)) = amounts.iter().find(|(_, x)| !x.is_finite() || *x < 0.0) {
+            return Err(format!("safety.{name}: {x} is no amount; it must be 0 or more"));
+        }
+        if tenths(over) == 0 {
+            return Err(format!("safety.counted_over_ns: {over} is no period; it must be 100000 or more"));
+        }
+        Ok(Some(Ration { free, share, over: tenths(over) }))
+    }
+}
+
+impl Mix {
+    /// # Errors
+    /// A figure is no weight, or no number of steps.
+    fn nines(&self) -> Result<Option<Nines>, String> {
+        let told = [("nines_part", self.nines_part), ("top_nines", self.top_nines)];
+        for (name, x) in told {
+            if let Some(x) = x.filter(|x| !x.is_finite() || *x < 0.0) {
+                return Err(format!("result_mix.{name}: {x} must be 0 or more"));
+            }
+        }
+        let part = self.nines_part.unwrap_or(0.0);
+        match self.top_nines {
+            Some(top) if top > 0.0 => Ok((part > 0.0).then_some(Nines { part, top })),
+            _ if part > 0.0 => Err("result_mix.top_nines: must be above 0 where nines_part is".into()),
+            _ => Ok(None),
+        }
+    }
+}
+
 impl Info {
     /// What is wrong with the figures, with its place.
     fn wrong(&self) -> Option<String> {
@@ -159,6 +224,12 @@
         if let Some((name, fee)) = fees.iter().find(|(_, fee)| !fee.is_finite() || *fee < 0.0) {
             return Some(format!("fees.{name}: {fee} is no price; it must be 0 or more"));
         }
+        if let Some(at) = self.grades.iter().position(|g| !g.gain.is_finite() || g.gain < 0.0) {
+            return Some(format!(
+                "grades[{at}].gain: {} is no utility; it must be 0 or more",
+                self.grades[at].gain
+            ));
+        }
         let short = self.grades.iter().position(|g| g.deadline_ns < 0)?;
         Some(format!("grades[{short}].deadline_ns: {} is under 0", self.grades[short].deadline_ns))
     }
@@ -173,6 +244,7 @@
         if let Some(wrong) = info.wrong() {
             return Err(wrong);
         }
+        let (ration, nines) = (info.safety.ration()?, info.result_mix.nines()?);
         let listeners = info.grades.iter().map(|g| Listener {
             kind: match (g.idempotency.as_str(), g.group.as_str()) {
                 ("idempotent", _) => Kind::Repeatable,
@@ -188,6 +260,7 @@
                 _ => Kind::OnceOnly,
             },
             handshake_target: tenths(g.aim_ns),
+            utility: g.gain,
         });
         let (limits, safety) = (&info.policy_limits, &info.safety);
         let at = |name| info.feedback.names.iter().position(|n| n == name);
@@ -208,6 +281,8 @@
             cold: tenths(safety.cold_ns),
             fall_multiple: safety.fall_multiple,
             overload_for: tenths(safety.overload_for_ns),
+            ration,
+            nines,
             connect_timeout: tenths(limits.dial_timeout_ns).max(1),
             max_dials: limits.send_cap,
             max_retry_after: tenths(limits.max_retry_after_ns),
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -203,6 +203,16 @@
     assert!(Facts::read(b"[").is_err());
 }
 
+#[test]
+fn a_ration_of_further_dials_and_the_nines_are_read_whole_or_absent() {
+    let set = |text: &str| Facts::read(text.as_bytes()).unwrap().settings;
+    let all = set(r#"{"safety":{"budget_free":3,"extra_per_request":0.05,"counted_over_ns":5000000000},
+            "result_mix":{"nines_part":0.3,"top_nines":3}}"#);
+    assert_eq!(all.ration, Some(Ration { free: 3.0, share: 0.05, over: 50_000 }));
+    assert_eq!(all.nines, Some(Nines { part: 0.3, top: 3.0 }));
+    assert_eq!((set("{}").ration, set("{}").nines), (None, None));
+}
+
 #[test]
 fn a_proxy_keeps_near_only_where_a_crossing_costs_no_less_than_a_move() {
     let zone = |more: &str| {
@@ -222,6 +232,23 @@
         (r#"{"fees":{"cross_zone":-0.1}}"#, "fees.cross_zone: -0.1 is no price"),
         (r#"{"fees":{"moves":"dear"}}"#, "expected f64"),
         (r#"{"grades":[{},{"deadline_ns":-1}]}"#, "grades[1].deadline_ns: -1 is under 0"),
+        (r#"{"grades":[{"gain":-1}]}"#, "grades[0].gain: -1 is no utility"),
+        (r#"{"safety":{"budget_free":3,"extra_per_request":0.05}}"#, "safety.counted_over_ns: missing"),
+        (r#"{"safety":{"counted_over_ns":5000000000}}"#, "safety.budget_free: missing"),
+        (
+            r#"{"safety":{"budget_free":-3,"extra_per_request":0.05,"counted_over_ns":5000000000}}"#,
+            "safety.budget_free: -3 is no amount",
+        ),
+        (
+            r#"{"safety":{"budget_free":3,"extra_per_request":0.05,"counted_over_ns":0}}"#,
+            "safety.counted_over_ns: 0 is no period",
+        ),
+        (r#"{"safety":{"budget_free":"few"}}"#, "expected f64"),
+        (
+            r#"{"result_mix":{"nines_part":-0.3,"top_nines":3}}"#,
+            "result_mix.nines_part: -0.3 must be 0 or more",
+        ),
+        (r#"{"result_mix":{"nines_part":0.3}}"#, "result_mix.top_nines: must be above 0"),
     ] {
         assert!(wrong(text).contains(place), "{text}: {}", wrong(text));
     }
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -127,6 +127,7 @@
                 self.heard_list(now, scope, endpoints);
                 self.fresh = None;
             }
+            Event::Succeeds => self.core.succeeds(now),
             Event::Listed(to) => _ = to.try_send(self.listed.values().cloned().collect()),
             Event::ListFailed => self.core.list_failed(now),
         }
--- a/crates/larklink-proxy/src/events.rs
+++ b/crates/larklink-proxy/src/events.rs
@@ -61,6 +61,8 @@
     },
     List(Scope, Vec<Endpoint>),
     ListFailed,
+    /// This process takes connections in the place of another one of the proxy, which may still dial.
+    Succeeds,
     /// Asks for the list as it stands.
     Listed(Sender<Vec<Endpoint>>),
 }
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -119,6 +119,7 @@
                 }
             }
         }
+        self.queue.send(Event::Succeeds).await;
         let _ = self.taking.send(true).await;
         tracing::info!("takes the connections over");
         old
@@ -217,6 +218,7 @@
         if mine && !self.stop.is_closed() {
             tracing::warn!("a process that had taken over is gone: takes connections again");
             let _ = self.lost.0.try_send(());
+            self.queue.send(Event::Succeeds).await;
             let _ = self.taking.send(true).await;
         }
     }
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -5,7 +5,7 @@
 //! seen (`stood`, `noted`, `probed`, `left`); after each call, and when [`Balancer::due`] has come, carry out
 //! what [`Balancer::chores`] returns. No call blocks. Its interface, plain values, is defined in `types.rs`.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -241,6 +241,11 @@
     failed_at: Option<ServerIx>,
     /// What moving on promises: falls with each session moved, comes back with time.
     hope: f64,
+    /// Within the window of the ration: when sessions came, and when further dials went out.
+    taken: VecDeque<Time>,
+    further: VecDeque<Time>,
+    /// Until then the free part of the ration may be spent by the process before this one.
+    owed: Time,
     /// Sessions that wait for the answer to a probe.
     waiting: Vec<SessIx>,
     next_round: Time,
@@ -273,6 +278,9 @@
             window: f64::INFINITY,
             hope: 1.0,
             failed_at: None,
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            owed: 0,
             waiting: Vec::new(),
             todo: Vec::new(),
         }
@@ -322,9 +330,19 @@
         ix
     }
 
+    /// Another process of this proxy has been taking its sessions until now, and may still dial for them: what is
+    /// free of the ration counts as spent until the last of those dials has left the window.
+    pub fn succeeds(&mut self, now: Time) {
+        let Some(ration) = self.set.ration else { return };
+        let last = if self.set.dial_timeout == Time::MAX { ration.over } else { self.set.dial_timeout };
+        self.owed = now + last + ration.over;
+    }
+
     /// Where to send this one.
     pub fn place(&mut self, now: Time, ask: Session) -> (SessIx, Verdict) {
         let ix = self.enter(now, ask);
+        self.taken.extend(self.set.ration.map(|_| now));
+        self.spare(now);
         let span = self.set.overload_for;
         let gap = self.came.replace(now).map_or(span, |last| (now - last).min(span));
         self.sessions[ix].turn = gap as f64 / self.rng.random::<f64>();
@@ -350,6 +368,10 @@
             self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
         }
         self.servers[server].ended(now, how, false);
+        if how == How::Unsent && self.sessions[ix].dials > 1 {
+            // It was none: the ration does not count it.
+            self.further.pop_back();
+        }
         if over {
             self.remove(ix);
         }
@@ -630,7 +652,7 @@
     fn next(&mut self, now: Time, ix: SessIx) -> Verdict {
         let sess = self.sessions[ix].clone();
         let left = sess.until.saturating_sub(now);
-        let Listener { handshake_target: target, kind } = self.rows[sess.ask.listener].listener;
+        let Listener { handshake_target: target, kind, .. } = self.rows[sess.ask.listener].listener;
         let fits = left > 0 && (sess.dials == 0 || left > self.set.connect_timeout / 4);
         let fits = fits && sess.dials < self.set.max_dials;
         // Mid-flow it goes on at its server, which asks the store for nothing.
@@ -638,6 +660,7 @@
         if fits
             && (goes_on || self.out < self.window && self.paced(self.window) > 0.0)
             && let Some(server) = self.choose(now, &sess)
+            && (sess.dials == 0 || self.spared(now, &sess, server))
         {
             if self.unknown(now, &sess, server) {
                 let x = &mut self.sessions[ix];
@@ -655,6 +678,7 @@
             let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
             self.servers[server].take(sess.load);
+            self.further.extend(self.set.ration.filter(|_| sess.dials > 0).map(|_| now));
             let x = &mut self.sessions[ix];
             (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
             return Verdict::Dial { server, limit };
@@ -669,6 +693,34 @@
         Verdict::Refuse { retry_after: if self.set.retry_after { wait } else { 0 } }
     }
 
+    /// How many further dials the ration allows in the window that ends now, and how many went out in it. Times are
+    /// inexact: a dial that may still lie in the window counts, a session that may have left it does not.
+    fn spare(&mut self, now: Time) -> (f64, usize) {
+        let Some(Ration { free, share, over }) = self.set.ration else { return (f64::INFINITY, 0) };
+        while self.taken.front().is_some_and(|t| t + over <= now + 1) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|t| t + over + 1 < now) {
+            self.further.pop_front();
+        }
+        let free = if now < self.owed { 0.0 } else { free };
+        (free + share * self.taken.len() as f64, self.further.len())
+    }
+
+    /// Whether the ration has a further dial to that server for this session. Its dials are spread over the window,
+    /// so that a storm leaves some for its end: who is worth most, has most time left and is likely to be served
+    /// need not wait as long since the one before. It may hurt where failures come in bursts and are soon over.
+    fn spared(&mut self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
+        let (allowed, sent) = self.spare(now);
+        let Some(Ration { over, .. }) = self.set.ration else { return true };
+        let most = self.rows.iter().map(|r| r.listener.utility).fold(f64::MIN_POSITIVE, f64::max);
+        let left = sess.until.saturating_sub(now) as f64 / sess.ask.patience.max(1) as f64;
+        let s = &self.servers[ix];
+        let worth = self.rows[sess.ask.listener].listener.utility / most * left * s.good / (s.good + s.bad);
+        let gap = over as f64 / allowed * (1.0 - worth / 2.0);
+        sent as f64 + 1.0 <= allowed && self.further.back().is_none_or(|&last| (now - last) as f64 >= gap)
+    }
+
     /// With hundreds of proxies none sees by its own sessions what a server bears: it asks before its first.
     fn unknown(&self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let (s, wait) = (&self.servers[ix], self.set.connect_timeout);
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -33,6 +33,26 @@
 pub struct Listener {
     pub kind: Kind,
     pub handshake_target: Time,
+    /// What a second of one of its sessions is worth, in no unit; 0 where that is not told.
+    pub utility: f64,
+}
+
+/// A ration of further dials: in any window of a length, a proxy's dials beyond each session's first number at
+/// most `free` plus `share` x the sessions that it took in that window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ration {
+    pub free: f64,
+    pub share: f64,
+    pub over: Time,
+}
+
+/// What calm spans weigh: the mean of how many tenfold steps the share not served lies below the whole.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Nines {
+    /// Its weight in the result.
+    pub part: f64,
+    /// So many steps count in full.
+    pub top: f64,
 }
 
 /// What a proxy is told at its start.
@@ -53,6 +73,9 @@
     pub cold: Time,
     pub fall_multiple: f64,
     pub overload_for: Time,
+    /// None where further dials are not rationed.
+    pub ration: Option<Ration>,
+    pub nines: Option<Nines>,
     pub connect_timeout: Time,
     pub max_dials: u32,
     pub max_retry_after: Time,
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -17,7 +17,7 @@
 
 fn settings() -> Settings {
     Settings {
-        listeners: KINDS.map(|kind| Listener { kind, handshake_target: SECOND / 2 }).into(),
+        listeners: KINDS.map(|kind| Listener { kind, handshake_target: SECOND / 2, utility: 1.0 }).into(),
         proxies: 0,
         weighted: true,
         on_request: false,
@@ -28,6 +28,8 @@
         cold: 20 * SECOND,
         fall_multiple: 4.0,
         overload_for: SECOND,
+        ration: None,
+        nines: None,
         connect_timeout: SECOND / 5,
         max_dials: 4,
         max_retry_after: SECOND,
@@ -311,6 +313,91 @@
     }
 }
 
+const RATION: Ration = Ration { free: 3.0, share: 0.05, over: 5 * SECOND };
+
+/// A proxy whose further dials are rationed; every dial but those that `fails` spares finds its server dead.
+fn rationed(fails: impl Fn(usize) -> bool, calls: &[(Time, usize)]) -> (Vec<Time>, usize) {
+    let (mut b, mut further, mut now) =
+        (fleet(Settings { ration: Some(RATION), ..settings() }, 40), vec![], 0);
+    let mut answered = 0;
+    for (n, &(wait, listener)) in calls.iter().enumerate() {
+        now += wait;
+        let (ix, mut verdict) = b.place(now, ask(n as u64 + 1, listener));
+        while let Verdict::Dial { .. } = verdict {
+            let over = !fails(n);
+            let Some(next) = b.settled(now, ix, if over { How::Accepted } else { How::Unmade }, over) else {
+                break;
+            };
+            further.extend(matches!(next, Verdict::Dial { .. }).then_some(now));
+            verdict = next;
+        }
+        answered += usize::from(matches!(verdict, Verdict::Refuse { .. } | Verdict::TearDown));
+    }
+    (further, answered)
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// The count slides: no window of its length has more, wherever it begins, and who may not dial again has his
+    /// answer at once.
+    #[test]
+    fn no_window_holds_more_further_dials_than_its_ration(
+        calls in prop::collection::vec((0..SECOND, 0..KINDS.len()), 1..120), sound in 1..9usize,
+    ) {
+        let (further, answered) = rationed(|n| n % sound != 0, &calls);
+        let mut now = 0;
+        let times: Vec<_> = calls.iter().map(|&(wait, _)| { now += wait; now }).collect();
+        for (n, &end) in further.iter().enumerate() {
+            let within = |t: &&Time| **t + RATION.over > end && **t <= end;
+            let (sent, taken) = (further[..=n].iter().filter(within).count(), times.iter().filter(within).count());
+            prop_assert!(sent as f64 <= RATION.free + RATION.share * taken as f64, "{sent} for {taken} at {end}");
+        }
+        prop_assert_eq!(answered, calls.len() - (0..calls.len()).filter(|n| n % sound == 0).count());
+    }
+
+    #[test]
+    fn a_steady_demand_never_spends_the_ration_in_the_first_fifth(wait in 1..SECOND / 4) {
+        let calls: Vec<_> = (0..4 * RATION.over / wait).map(|_| (wait, 0)).take(2_000).collect();
+        let (further, _) = rationed(|_| true, &calls);
+        for &start in &further {
+            let early = further.iter().filter(|&&t| t >= start && t < start + RATION.over / 5).count();
+            let taken = (RATION.over / wait) as f64;
+            prop_assert!((early as f64) < RATION.free + (RATION.share * taken).floor(), "{early} from {start} on");
+        }
+    }
+}
+
+/// Reported at a full-size day: four further dials in five seconds where five sessions taken allowed 3.3.
+#[test]
+fn a_crowd_of_failures_stays_within_the_ration_and_leaves_some_for_later() {
+    let (further, answered) = rationed(|_| true, &[(0, 0); 5]);
+    assert_eq!((further.len(), answered), (1, 5), "one at once, the others keep their distance");
+    let later: Vec<_> = (0..50).map(|_| (SECOND / 10, 0)).collect();
+    let (further, _) = rationed(|_| true, &later);
+    assert!((3..=5).contains(&further.len()), "{further:?}");
+    assert!(further[further.len() - 1] > 3 * SECOND, "what is kept back is spent later: {further:?}");
+}
+
+/// A process that takes over has no free dials of its own while the old one's may still lie in the window.
+#[test]
+fn a_process_that_takes_over_does_not_begin_with_a_full_ration() {
+    let mut b = fleet(Settings { ration: Some(RATION), ..settings() }, 40);
+    b.succeeds(0);
+    let again = |b: &mut Balancer, now, key| {
+        let (ix, verdict) = b.place(now, ask(key, 0));
+        dialled(verdict);
+        b.settled(now, ix, How::Unmade, false).unwrap()
+    };
+    assert!(matches!(again(&mut b, SECOND, 1), Verdict::Refuse { .. }));
+    dialled(again(&mut b, 8 * SECOND, 2));
+}
+
 #[test]
 fn two_proxies_with_one_list_agree_whatever_its_order() {
     let entries: Vec<_> = (0..8).map(|s| entry(s, State::Ready, 0)).collect();
