Cold servers: no mid-flow session by lookup, and few who walk there past full ones

Cause, from the frames: 30 mid-flow sessions of proxies that had died reached it in one tick, all by the lookup of their bucket's earlier owner (choose, the first return), which passes over servers that joined of late but not those that restarted. What stood there before its start is gone, so the lookup now skips them for a warm-up. Not the new ones: those came at four a second, within the budget.

Cause: all other servers were at 0.75 of what they can do, 250 sessions a second were refused, and each whose first three servers held the cold one had its turn there by that server's share of all weight, as if only its own buckets reached it (within_budget). What servers told (13 to 18 sessions at full load) was true, and the turns of one proxy were too. Now a session counts by its place in the walk.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -330,8 +330,8 @@
         ix
     }
 
-    /// Another process of this proxy has been taking its sessions until now, and may still dial for them: what is
-    /// free of the ration counts as spent until the last of those dials has left the window.
+    /// Another process of this proxy has been taking its sessions until now, and may still dial for them:
+    /// what is free of the ration counts as spent until the last of those dials has left the window.
     pub fn succeeds(&mut self, now: Time) {
         let Some(ration) = self.set.ration else { return };
         let last = if self.set.dial_timeout == Time::MAX { ration.over } else { self.set.dial_timeout };
@@ -693,8 +693,8 @@
         Verdict::Refuse { retry_after: if self.set.retry_after { wait } else { 0 } }
     }
 
-    /// How many further dials the ration allows in the window that ends now, and how many went out in it. Times are
-    /// inexact: a dial that may still lie in the window counts, a session that may have left it does not.
+    /// How many further dials the ration allows in the window that ends now, and how many went out in it.
+    /// Times are inexact: a dial that may still lie in it counts, a session that may have left it does not.
     fn spare(&mut self, now: Time) -> (f64, usize) {
         let Some(Ration { free, share, over }) = self.set.ration else { return (f64::INFINITY, 0) };
         while self.taken.front().is_some_and(|t| t + over <= now + 1) {
@@ -707,9 +707,9 @@
         (free + share * self.taken.len() as f64, self.further.len())
     }
 
-    /// Whether the ration has a further dial to that server for this session. Its dials are spread over the window,
-    /// so that a storm leaves some for its end: who is worth most, has most time left and is likely to be served
-    /// need not wait as long since the one before. It may hurt where failures come in bursts and are soon over.
+    /// Whether the ration has a further dial to that server for this session. Its dials are spread over the
+    /// window, so that a storm leaves some for its end: who is worth most, has most time left and is likely
+    /// to be served need not wait as long since the one before. It may hurt where failures come in bursts.
     fn spared(&mut self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let (allowed, sent) = self.spare(now);
         let Some(Ration { over, .. }) = self.set.ration else { return true };
@@ -732,14 +732,15 @@
     /// The first server down the bucket's ranking that nothing speaks against.
     fn choose(&mut self, now: Time, sess: &Sess) -> Option<ServerIx> {
         if sess.ask.mid_flow && sess.dials == 0 {
-            // The earlier owner: one that joined of late did not hold this connection, one that drains may.
+            // The earlier owner: one that joined or started of late did not hold this connection, one that
+            // drains may. Where many proxies die a restarted one would get all that its bucket has elsewhere.
             let (grace, keep) = (self.set.drain_grace / 2, self.set.cold);
             let earlier = |s: &Server| match s.told {
                 Some(t) if s.barred(self.set.only_drains) => {
                     s.entry.state == State::Draining && now <= t + grace
                 }
                 Some(t) => now <= t + keep,
-                None => s.ready() && (s.joined == 0 || s.joined + keep <= now),
+                None => s.ready() && (s.joined == 0 || s.joined + keep <= now) && s.age(now) >= keep,
             };
             let owner = self.near_first(self.rank(sess.bucket, earlier)).first().copied();
             if owner.is_some_and(|ix| self.servers[ix].misses < SILENT) {
@@ -764,7 +765,7 @@
             if full >= WALK + 2 * breadth {
                 break;
             }
-            if !self.allowed(now, sess, ix) || !self.within_budget(now, sess, ix, (load, weight)) {
+            if !self.allowed(now, sess, ix) || !self.within_budget(now, sess, ix, (load, weight, full)) {
                 continue;
             }
             let s = &self.servers[ix];
@@ -811,7 +812,13 @@
     /// A cold server takes no more than a share of what it can do, guessed from what warm servers tell that
     /// they bear, else from what they hold of ours. Hundreds of proxies share that: a session has its turn
     /// there by chance, by the time since the one before it, as ours go there by its share of all weight.
-    fn within_budget(&self, now: Time, sess: &Sess, ix: ServerIx, (load, weight): (f64, f64)) -> bool {
+    fn within_budget(
+        &self,
+        now: Time,
+        sess: &Sess,
+        ix: ServerIx,
+        (load, weight, full): (f64, f64, usize),
+    ) -> bool {
         let (cold, start, s) = (self.set.cold, self.set.start_capacity, &self.servers[ix]);
         let age = s.age(now);
         if age >= cold {
@@ -826,6 +833,8 @@
         // asked, a proxy with a session or two of it takes care until it has seen that groups are small.
         let (share, burst) = (self.weight(s) / weight, sess.ask.again && !self.set.probing);
         let group = if burst { self.share(sess.bucket, UNSEEN) } else { 0.0 };
-        rate * sess.turn >= share.max(group) && s.load < fill + 1.0
+        // Where all are full each session walks on to it: by its place there, so that the sum stays bounded.
+        let reach = (full + 1) as f64;
+        rate * sess.turn >= share.max(group) * reach && s.load < fill + 1.0
     }
 }
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -502,8 +502,14 @@
 }
 
 /// Sends to a cold server in each second of its warm-up, and the bound on them, where so many proxies place so
-/// many sessions a second each, all at the same moments, and warm servers tell that each bears 50.
-fn sends_to_a_cold_server(proxies: u32, rate: u64, told: f64) -> (Vec<u32>, impl Fn(usize) -> f64) {
+/// many sessions a second each, all at the same moments, and warm servers tell that each bears 50; `full`: they
+/// take no more.
+fn sends_to_a_cold_server(
+    proxies: u32,
+    rate: u64,
+    told: f64,
+    full: bool,
+) -> (Vec<u32>, impl Fn(usize) -> f64) {
     let (servers, now) = (10, 60 * SECOND);
     let entries: Vec<_> = (0..servers).map(|s| entry(s, State::Ready, 0)).collect();
     let mut sent = vec![0; 20];
@@ -525,8 +531,11 @@
         b.heard_list(now, Scope::Changes, &[entry(0, State::Ready, now)]);
         for n in 0..20 * rate {
             let at = now + n * SECOND / rate;
+            for s in 1..servers * usize::from(full) {
+                b.probed(at, s, How::Accepted, 10, 0.9, 45.0);
+            }
             let (ix, verdict) = b.place(at, ask(1 + seed + n * 1000, 0));
-            sent[(n / rate) as usize] += u32::from(dialled(verdict) == 0);
+            sent[(n / rate) as usize] += u32::from(matches!(verdict, Verdict::Dial { server: 0, .. }));
             b.left(ix);
         }
     }
@@ -537,7 +546,7 @@
 fn any_number_of_proxies_use_a_cold_servers_budget_and_keep_to_it() {
     // Before, each added up its own part until it was a session, in minutes: a hundred sent nothing at all.
     for (proxies, rate) in [(1, 300), (4, 75), (4, 300), (100, 3), (100, 10), (300, 1)] {
-        let (sent, limit) = sends_to_a_cold_server(proxies, rate, 25.0);
+        let (sent, limit) = sends_to_a_cold_server(proxies, rate, 25.0, false);
         for (second, &sent) in sent.iter().enumerate() {
             // At once, each may use the turn of the whole span before.
             let most = if second == 0 { 2.0 } else { 1.0 } * limit(second) + 4.0 * limit(second).sqrt();
@@ -547,10 +556,22 @@
         assert!(f64::from(all) > 0.3 * most, "{proxies} proxies: {all} sends, {most} allowed");
         assert!(f64::from(all) < 1.2 * most, "{proxies} proxies: {all} sends, {most} allowed");
     }
-    let (sent, _) = sends_to_a_cold_server(4, 75, 0.0);
+    let (sent, _) = sends_to_a_cold_server(4, 75, 0.0, false);
     assert!(sent.iter().sum::<u32>() > 10, "a load alone closes cold servers: {sent:?}");
 }
 
+/// Reported at 57 proxies: all other servers were full, each of 250 sessions a second walked on to the one that had
+/// started, and 15 of them within a second pushed it over.
+#[test]
+fn who_walks_past_full_servers_does_not_push_a_cold_one_over() {
+    let (sent, limit) = sends_to_a_cold_server(57, 5, 25.0, true);
+    let (all, most) = (sent.iter().sum::<u32>(), (0..20).map(limit).sum::<f64>());
+    assert!(
+        f64::from(all) < 2.0 * most && f64::from(all) > 0.3 * most,
+        "{all} sends, {most} for owners alone"
+    );
+}
+
 #[test]
 fn a_new_session_on_a_crowded_server_is_moved_on_less_and_less() {
     let (mut b, mut moved) = (fleet(settings(), 8), Vec::new());
@@ -629,6 +650,18 @@
     assert_ne!(dialled(b.place(now + SECOND, moved).1), early);
 }
 
+/// Reported at 169 proxies: half of them died, and 30 sessions that then came mid-flow were all sent to their
+/// bucket's owner, which had restarted three seconds before and fell over.
+#[test]
+fn a_server_that_restarted_of_late_gets_no_mid_flow_session_as_its_earlier_owner() {
+    let (owner, now) = (dialled(fleet(settings(), 8).place(0, ask(9, 0)).1), 60 * SECOND);
+    let mut b = fleet(settings(), 8);
+    b.heard_list(now, Scope::Changes, &[entry(owner, State::Ready, now - SECOND)]);
+    let moved = Session { mid_flow: true, ..ask(9, 0) };
+    assert_ne!(dialled(b.place(now + SECOND, moved).1), owner);
+    assert_eq!(dialled(b.place(now + 20 * SECOND, moved).1), owner);
+}
+
 #[test]
 fn without_servers_a_session_is_refused_at_once() {
     let mut b = Balancer::new(settings(), 7, 0);
