--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -955,7 +955,7 @@
                 while verdict == Verdict::Wait {
                     (0..30).for_each(|s| b.probed(now, s, How::Accepted, 10, 0.0, 0.0));
                     let tell = |c| if let Chore::Tell(_, verdict) = c { Some(verdict) } else { None };
-                    verdict = b.chores(now).into_iter().filter_map(tell).last().unwrap();
+                    verdict = b.chores(now).into_iter().filter_map(tell).next_back().unwrap();
                 }
                 dialled(verdict) == 0
             };
