Large groups: fewer servers walked, a start by weight, none supposed from two sessions

Loads summed by server: 82 cores are asked by sessions and 55 more by groups, each of which costs three mean loads on each server that holds any of it; a group of 16 in 100 stands on 32 servers, one of 4 in 100 on 12. Slow servers ask for what fast ones bear.

To blame, in choose: two sessions that share a group by chance make it half of all sessions, so a walk went on by 2 x 40 servers; and a large group started at each of its first servers alike, whatever its weight. Now 50 pairs are supposed to have been seen before any is, two of them of one group; as many servers as make the group's part by weight are its first, met by weight; the walk goes on by as many, not twice.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -67,6 +67,9 @@
 const WARY: f64 = 4.0;
 /// And at most this share of what makes it fall over within the span in which that is counted.
 const BURST: f64 = 0.5;
+/// Pairs of one group and pairs in all that are supposed to have been seen before any is: a proxy of a few
+/// sessions takes two that share a group by chance for no large one. It may hurt where all are of one group.
+const SUPPOSED: (u64, f64) = (1, 50.0);
 /// Pairs of our own sessions in one group that are thought unseen, where a group comes again at once.
 const UNSEEN: u64 = 2;
 /// The most successes that speak for a server.
@@ -625,9 +628,10 @@
 
     /// What share of all sessions, at all proxies together, are of a bucket. One in hundreds, with a few of
     /// them, knows the size of groups by how often two of its own share one, and if so many pairs more did.
-    fn share(&self, bucket: u64, more: u64) -> f64 {
+    fn share(&self, bucket: u64, (more, of): (u64, f64)) -> f64 {
         let (all, mates) = (self.sessions.len() as f64, f64::from(self.mates[bucket as usize]));
-        mates / ((all - 1.0).max(1.0) * (1.0 + all / (2 * more + self.pairs) as f64))
+        let others = (all - 1.0).max(1.0);
+        mates / (others + (all * others + of) / (2 * more + self.pairs) as f64)
     }
 
     /// Of the first servers of a ranking, the first that is near goes before the others.
@@ -648,6 +652,15 @@
         claims.into_iter().map(|(_, _, ix)| ix).collect()
     }
 
+    /// How many first servers of a ranking have no more than so much weight together.
+    fn within(&self, ranking: &[ServerIx], mut weight: f64) -> usize {
+        let fits = |ix: &&ServerIx| {
+            weight -= self.weight(&self.servers[**ix]);
+            weight >= 0.0
+        };
+        ranking.iter().take_while(fits).count()
+    }
+
     /// Sends a session on, or gives it its final answer at once.
     fn next(&mut self, now: Time, ix: SessIx) -> Verdict {
         let sess = self.sessions[ix].clone();
@@ -751,21 +764,25 @@
             self.table.insert(sess.bucket, self.rank(sess.bucket, Server::ready));
         }
         let mut ranking = self.near_first(self.table[&sess.bucket].clone());
-        // Its group makes the mean load of so many servers: it starts at any where they tell no load.
-        let breadth = (self.share(sess.bucket, 0) * ranking.len() as f64) as usize;
-        if breadth > 1 && !self.set.tells_load {
-            ranking[..breadth].rotate_left(self.rng.random_range(0..breadth));
-        }
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
+        // Its group makes the mean load of its first so many servers: it starts at any of them, by their weight,
+        // where they tell no load.
+        let breadth = self.within(&ranking, self.share(sess.bucket, SUPPOSED) * weight);
+        if breadth > 1 && !self.set.tells_load {
+            let all: f64 = ranking[..breadth].iter().map(|ix| self.weight(&self.servers[*ix])).sum();
+            let start = self.rng.random::<f64>() * all;
+            let start = self.within(&ranking[..breadth - 1], start);
+            ranking[..breadth].rotate_left(start);
+        }
         let (mut crowded, mut doubtful, mut full) = (Vec::new(), None, 0);
-        for (place, &ix) in ranking.iter().enumerate() {
+        for &ix in ranking.iter() {
             // Each server that holds any of a group pays for it, so a crowd must not scatter its groups: the
-            // walk ends early. A group as large as several servers' mean load may walk on by twice as many.
-            if full >= WALK + 2 * breadth {
+            // walk ends early. A group as large as several servers' mean load may walk on by as many.
+            if full >= WALK + breadth {
                 break;
             }
-            if !self.allowed(now, sess, ix) || !self.within_budget(now, sess, ix, (load, weight, place)) {
+            if !self.allowed(now, sess, ix) || !self.within_budget(now, sess, ix, (load, weight, full)) {
                 continue;
             }
             let s = &self.servers[ix];
@@ -817,7 +834,7 @@
         now: Time,
         sess: &Sess,
         ix: ServerIx,
-        (load, weight, place): (f64, f64, usize),
+        (load, weight, full): (f64, f64, usize),
     ) -> bool {
         let (cold, start, s) = (self.set.cold, self.set.start_capacity, &self.servers[ix]);
         let age = s.age(now);
@@ -831,10 +848,10 @@
         let rate = pace * (self.set.fall_multiple - 1.0) * fill;
         // A large group that broke or was moved comes again all at once, and to one server: a proxy with a
         // session or two of it takes care until it has seen that groups are small.
-        let group = if sess.ask.again { self.share(sess.bucket, UNSEEN) } else { 0.0 };
-        // Where those before it are full, in doubt or cold too, each session walks on to it: it counts by its
-        // place there, so that the sum over all stays bounded. It may hurt where few servers are left.
-        let share = (self.weight(s) / weight).max(group) * (place + 1) as f64;
+        let group = if sess.ask.again { self.share(sess.bucket, (UNSEEN, 0.0)) } else { 0.0 };
+        // Where those before it are full each session walks on to it: it counts by how many they were, so that
+        // the sum over all stays bounded. It may hurt where few servers are left.
+        let share = (self.weight(s) / weight).max(group) * (full + 1) as f64;
         rate * sess.turn >= share && s.load < fill + 1.0
     }
 }
