--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -766,8 +766,8 @@
         let mut ranking = self.near_first(self.table[&sess.bucket].clone());
         let ready = self.servers.iter().filter(|s| s.ready());
         let (load, weight) = ready.fold((0.0, 0.0), |(l, w), s| (l + s.load, w + self.weight(s)));
-        // Its group makes the mean load of its first so many servers: it starts at any of them, by their weight,
-        // where they tell no load.
+        // Its group makes the mean load of its first so many servers: it starts at any of them, by their
+        // weight, where they tell no load.
         let breadth = self.within(&ranking, self.share(sess.bucket, SUPPOSED) * weight);
         if breadth > 1 && !self.set.tells_load {
             let all: f64 = ranking[..breadth].iter().map(|ix| self.weight(&self.servers[*ix])).sum();
@@ -849,8 +849,8 @@
         // A large group that broke or was moved comes again all at once, and to one server: a proxy with a
         // session or two of it takes care until it has seen that groups are small.
         let group = if sess.ask.again { self.share(sess.bucket, (UNSEEN, 0.0)) } else { 0.0 };
-        // Where those before it are full each session walks on to it: it counts by how many they were, so that
-        // the sum over all stays bounded. It may hurt where few servers are left.
+        // Where those before it are full each session walks on to it: it counts by how many they were, so
+        // that the sum over all stays bounded. It may hurt where few servers are left.
         let share = (self.weight(s) / weight).max(group) * (full + 1) as f64;
         rate * sess.turn >= share && s.load < fill + 1.0
     }
