A server emptied while crowded stays shut for three quarters of a minute

A server eased to nothing had a cap of half a mean load that grows by 0.03 a second: after 23 s it takes a session from each of 226 proxies again, all in the same seconds. To blame: LEAST.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -50,8 +50,9 @@
 const NOTE: Time = 10_000;
 /// Share of a crowded server's load that is moved off it each time, for each doubling of the delay.
 const EASED: f64 = 0.08;
-/// A cap on the load of a server is never less than this: it has to grow first before a session fits.
-const LEAST: f64 = 0.5;
+/// A cap on the load of a server is never less than this: it has to grow first before a session fits, for
+/// three quarters of a minute. It may hurt where a server was emptied by a crowd that does not come back.
+const LEAST: f64 = 0.25;
 /// That cap grows back by this share a second.
 const REGROW: f64 = 0.03;
 /// Failures are forgotten by this share a second.
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -774,6 +774,29 @@
     assert_ne!(dialled(b.place(SECOND, ask(3, 0)).1), crowded);
 }
 
+/// One that was emptied while crowded took a session from each of 226 proxies again 23 s later, all at once.
+#[test]
+fn a_server_emptied_while_crowded_stays_shut_for_most_of_a_minute() {
+    let opens = |crowded: bool| {
+        let mut b = fleet(Settings { probing: true, ..settings() }, 2);
+        let owner = dialled(fleet(settings(), 2).place(0, ask(3, 0)).1);
+        b.probed(0, owner, How::Accepted, if crowded { 400 } else { 10 }, 0.0, 0.0);
+        (1..80u64).find(|n| {
+            (0..5).for_each(|part| drop(b.chores((n - 1) * SECOND + part * SECOND / 5)));
+            let (ix, mut verdict) = b.place(n * SECOND, ask(3, 0));
+            if verdict == Verdict::Wait {
+                (0..2).for_each(|s| b.probed(n * SECOND, s, How::Accepted, 10, 0.0, 0.0));
+                let tell = |c| if let Chore::Tell(_, verdict) = c { Some(verdict) } else { None };
+                verdict = b.chores(n * SECOND).into_iter().filter_map(tell).next_back().unwrap();
+            }
+            b.left(ix);
+            verdict_is(verdict, owner)
+        })
+    };
+    assert_eq!(opens(false), Some(1));
+    assert!(opens(true).is_some_and(|n| (30..60).contains(&n)), "{:?}", opens(true));
+}
+
 #[test]
 fn a_server_told_over_its_brim_is_asked_soon_and_gives_up_the_excess() {
     let mut b = fleet(Settings { probing: true, tells_load: true, ..settings() }, 2);
