--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -6,7 +6,8 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::Instant;
@@ -75,6 +76,10 @@
 
 impl Proxy {
     fn new(name: &str, mode: &str, server: SocketAddr, discovery: SocketAddr) -> Self {
+        Self::with(name, mode, server, discovery, "{}")
+    }
+
+    fn with(name: &str, mode: &str, server: SocketAddr, discovery: SocketAddr, safety: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("larklink-{name}-{mode}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let port = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
@@ -86,8 +91,8 @@
             r#"{{"listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"sockets":256}},
                 "known":{{"index":1,"endpoints":[
                     {{"name":"s-0","address":"{server}","status":"up","weight":1.0}}]}},
-                "settings":{{"grades":[{{"name":"chat","idempotency":"idempotent","deadline_ns":500000000}}],
-                    "domain":{{"mode":"{mode}"}},"policy_limits":{{"dial_timeout_ns":250000000,"send_cap":2}}}}}}"#
+                "settings":{{"grades":[{{"name":"chat","idempotency":"idempotent","aim_ns":400000000,"deadline_ns":500000000}}],
+                    "domain":{{"mode":"{mode}"}},"safety":{safety},"policy_limits":{{"dial_timeout_ns":250000000,"send_cap":2}}}}}}"#
         );
         fs::write(folder.join("config.json"), config).unwrap();
         Self { folder, listen, _port: port }
@@ -232,6 +237,47 @@
     }
 }
 
+/// A server that drops each session as soon as it has come, and how many have.
+fn drops() -> (SocketAddr, Arc<AtomicUsize>) {
+    let (listener, at) = mute();
+    let come = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&come);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut peer, count) = (Peer::new(stream.unwrap()), Arc::clone(&count));
+            thread::spawn(move || {
+                let mut line = String::new();
+                let _ = peer.0.read_line(&mut line);
+                count.fetch_add(usize::from(line.starts_with("OPEN")), Relaxed);
+            });
+        }
+    });
+    (at, come)
+}
+
+/// Both processes of a proxy together keep its ration: the one that takes over has no free dial of its own while the
+/// old one's still count. Of two free ones in a minute the old one makes one at once.
+#[test]
+fn a_ration_of_further_dials_holds_for_both_processes_together() {
+    let (server, come) = drops();
+    let safety = r#"{"budget_free":2,"extra_per_request":0,"counted_over_ns":60000000000}"#;
+    let proxy = Proxy::with("ration", "proxy", server, agent(server), safety);
+    let refused = || {
+        let mut client = Peer::new(TcpStream::connect(proxy.listen).unwrap());
+        client.say(&open("c=chat,t=acme,d=5000,g=3"));
+        assert!(client.hear().starts_with("BUSY"));
+    };
+    let old = proxy.start().gets_ready();
+    (0..3).for_each(|_| refused());
+    assert_eq!(come.load(Relaxed), 3 + 1);
+    let new = proxy.start().gets_ready();
+    old.signal(Signal::TERM);
+    old.ends();
+    (0..3).for_each(|_| refused());
+    assert_eq!(come.load(Relaxed), 4 + 3, "the new process spent what was free once more");
+    drop(new);
+}
+
 /// Whoever of the two is stopped or dies, the one that is left serves on in full.
 #[test]
 fn the_process_that_is_left_serves_on() {
