A silent agent is asked again within a quarter of a drain's grace

Change: after a call with no answer at all the pause stays within a quarter of the grace that the settings tell; an answered refusal still backs off as before, so an overbooked service is not called more often. The new loopback test fails without the fix with gaps up to 1.2 s.

--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -7,7 +7,7 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
-use larklink::types::{Scope, Time};
+use larklink::types::{Scope, Settings};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -23,6 +23,10 @@
 /// After a first failure the wait is drawn from up to so much, and after each further one from up to twice as much.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
+/// While the agent says nothing at all, no pause takes more than this share of a drain's grace: what the agent gets
+/// when discovery is back counts as told at once, and a call that already waits is answered in that moment. It may
+/// hurt where an agent refuses connections for long: each proxy then asks it some ten times a second.
+const OF_GRACE: u32 = 4;
 /// A watch that brings nothing new sooner than this is answered too early; it goes on for 200 ms.
 const EARLY: Duration = Duration::from_millis(100);
 const LONGEST_HEAD: usize = 16 << 10;
@@ -33,10 +37,12 @@
 pub async fn follow(
     mut agent: SocketAddr,
     moved: Receiver<SocketAddr>,
-    must_ask_in: Time,
+    settings: &Settings,
     queue: Queue,
     mut chance: ChaCha8Rng,
 ) {
+    let (wait, grace) = (span(settings.must_ask_in) / WAIT, span(settings.drain_grace));
+    let silence = if grace.is_zero() { FIRST_PAUSE } else { grace / OF_GRACE };
     loop {
         let new = async {
             match moved.recv().await {
@@ -44,12 +50,18 @@
                 Err(_) => future::pending().await,
             }
         };
-        let old = async { match watch(agent, span(must_ask_in) / WAIT, &queue, &mut chance).await {} };
+        let old = async { match watch(agent, wait, silence, &queue, &mut chance).await {} };
         agent = new.or(old).await;
     }
 }
 
-async fn watch(agent: SocketAddr, wait: Duration, queue: &Queue, chance: &mut ChaCha8Rng) -> Infallible {
+async fn watch(
+    agent: SocketAddr,
+    wait: Duration,
+    silence: Duration,
+    queue: &Queue,
+    chance: &mut ChaCha8Rng,
+) -> Infallible {
     let (mut link, mut index, mut lost, mut failed) = (None, None, false, 0);
     loop {
         let path = match index {
@@ -79,7 +91,7 @@
                     tracing::warn!("discovery: changes up to {}, older than the list we have", list.index);
                     index = None;
                     failed += 1;
-                    Timer::after(pause(failed, wait, chance)).await;
+                    Timer::after(pause(failed, wait / 2, chance)).await;
                 }
             }
             Err(e) => {
@@ -89,18 +101,20 @@
                 }
                 queue.send(Event::ListFailed).await;
                 failed += 1;
-                Timer::after(pause(failed, wait, chance)).await;
+                let most = if e.kind() == ErrorKind::InvalidData { wait / 2 } else { silence.min(wait / 2) };
+                Timer::after(pause(failed, most, chance)).await;
             }
         }
     }
 }
 
 /// How long to wait after so many failures in a row, drawn by chance: proxies that lost discovery together must
-/// not come back together, nor ask as often as ever of a service that has more to do than it can. At most half a
-/// watch's wait, so that nobody counts as told of what it did not ask for.
-pub fn pause(failed: u32, wait: Duration, chance: &mut ChaCha8Rng) -> Duration {
-    let most = (FIRST_PAUSE * 2u32.saturating_pow(failed.saturating_sub(1).min(16))).min(wait / 2);
-    LEAST_PAUSE.max(most.mul_f64(chance.random()))
+/// not come back together, nor ask as often as ever of a service that has more to do than it can. No more than `most`:
+/// half a watch's wait where the service answers that it cannot, so that nobody counts as told of what it did not ask
+/// for; far less where it is silent.
+pub fn pause(failed: u32, most: Duration, chance: &mut ChaCha8Rng) -> Duration {
+    let grown = (FIRST_PAUSE * 2u32.saturating_pow(failed.saturating_sub(1).min(16))).min(most);
+    LEAST_PAUSE.min(most / 2).max(grown.mul_f64(chance.random()))
 }
 
 type Kept = (Async<TcpStream>, Vec<u8>);
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -197,15 +197,15 @@
 fn calls_for_the_list_are_spread_and_grow_rarer_with_each_failure() {
     use rand::SeedableRng;
     use std::time::Duration;
-    let wait = Duration::from_millis(2500);
+    let most = Duration::from_millis(1250);
     let mean = |failed| {
         let pauses: Vec<_> = (0..100)
-            .map(|seed| pause(failed, wait, &mut rand_chacha::ChaCha8Rng::seed_from_u64(seed)))
+            .map(|seed| pause(failed, most, &mut rand_chacha::ChaCha8Rng::seed_from_u64(seed)))
             .collect();
-        assert!(pauses.iter().all(|p| *p >= Duration::from_millis(50) && *p <= wait / 2));
+        assert!(pauses.iter().all(|p| *p >= Duration::from_millis(50) && *p <= most));
         let tenths: std::collections::BTreeSet<_> = pauses.iter().map(|p| p.as_millis() / 20).collect();
         assert!(tenths.len() > 10, "in step: {pauses:?}");
         pauses.iter().sum::<Duration>() / 100
     };
-    assert!(mean(1) < Duration::from_millis(250) && mean(3) > mean(1) * 2 && mean(1000) < wait / 3);
+    assert!(mean(1) < Duration::from_millis(250) && mean(3) > mean(1) * 2 && mean(1000) < most * 2 / 3);
 }
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -523,6 +523,25 @@
     standing(proxy.address, &listener);
 }
 
+/// Discovery was silent for seven seconds, and an agent that had it back counted as having told of drains: proxies
+/// that paused for up to 1.2 s then sent new sessions there past the grace.
+#[test]
+fn an_agent_that_was_silent_is_heard_within_the_grace_of_its_return() {
+    let (agent, discovery) = server();
+    let _proxy = start(&[], discovery, "proxy", 1024);
+    let mut gaps = Vec::new();
+    for _ in 0..12 {
+        let mut call = Peer::accept(&agent);
+        asked(&mut call);
+        let lost = Instant::now();
+        drop(call);
+        asked(&mut Peer::accept(&agent));
+        gaps.push(lost.elapsed());
+    }
+    let grace = Duration::from_millis(500);
+    assert!(gaps.iter().all(|gap| *gap < grace), "{gaps:?}");
+}
+
 #[test]
 fn a_proxy_that_stops_answers_new_sessions_and_moves_what_it_holds() {
     let (listener, at) = server();
