An unsent dial takes back its own place in the ration's window, not the newest

Cause: settled() popped the newest entry of the window when a dial turned out never sent, though others may have gone out since: the window then forgot a dial that still counts (balancer.rs, settled). Change: it removes the entry of its own time.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -7,6 +7,11 @@
     u64::try_from(ns).unwrap_or(0) / 100_000
 }
 
+/// Neither 0 nor more, or no number.
+fn no_amount(x: f64) -> bool {
+    !x.is_finite() || x < 0.0
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Info {
@@ -170,21 +175,18 @@
     /// # Errors
     /// A part of it is told without the rest, or is no ration.
     fn ration(&self) -> Result<Option<Ration>, String> {
-        let parts = (self.budget_free, self.extra_per_request, self.counted_over_ns);
-        let (Some(free), Some(share), Some(over)) = parts else {
-            let told = [
-                ("budget_free", self.budget_free.is_some()),
-                ("extra_per_request", self.extra_per_request.is_some()),
-                ("counted_over_ns", self.counted_over_ns.is_some()),
-            ];
-            let lacks =
-                told.iter().find(|(_, there)| !there).filter(|_| told.iter().any(|(_, there)| *there));
-            return lacks.map_or(Ok(None), |(name, _)| {
-                Err(format!("safety.{name}: missing, though other parts of the budget of dials are there"))
-            });
+        let lacks = |name| {
+            Err(format!("safety.{name}: missing, though other parts of the budget of dials are there"))
+        };
+        let (free, share, over) = match (self.budget_free, self.extra_per_request, self.counted_over_ns) {
+            (None, None, None) => return Ok(None),
+            (None, _, _) => return lacks("budget_free"),
+            (_, None, _) => return lacks("extra_per_request"),
+            (_, _, None) => return lacks("counted_over_ns"),
+            (Some(free), Some(share), Some(over)) => (free, share, over),
         };
         let amounts = [("budget_free", free), ("extra_per_request", share)];
-        if let Some((name, x)) = amounts.iter().find(|(_, x)| !x.is_finite() || *x < 0.0) {
+        if let Some((name, x)) = amounts.iter().find(|(_, x)| no_amount(*x)) {
             return Err(format!("safety.{name}: {x} is no amount; it must be 0 or more"));
         }
         if tenths(over) == 0 {
@@ -200,7 +202,7 @@
     fn nines(&self) -> Result<Option<Nines>, String> {
         let told = [("nines_part", self.nines_part), ("top_nines", self.top_nines)];
         for (name, x) in told {
-            if let Some(x) = x.filter(|x| !x.is_finite() || *x < 0.0) {
+            if let Some(x) = x.filter(|x| no_amount(*x)) {
                 return Err(format!("result_mix.{name}: {x} must be 0 or more"));
             }
         }
@@ -221,10 +223,10 @@
             return Some(format!("zone: {} is no place among the {zones} in zones", self.zone));
         }
         let fees = [("cross_zone", self.fees.cross_zone), ("moves", self.fees.moves)];
-        if let Some((name, fee)) = fees.iter().find(|(_, fee)| !fee.is_finite() || *fee < 0.0) {
+        if let Some((name, fee)) = fees.iter().find(|(_, fee)| no_amount(*fee)) {
             return Some(format!("fees.{name}: {fee} is no price; it must be 0 or more"));
         }
-        if let Some(at) = self.grades.iter().position(|g| !g.gain.is_finite() || g.gain < 0.0) {
+        if let Some(at) = self.grades.iter().position(|g| no_amount(g.gain)) {
             return Some(format!(
                 "grades[{at}].gain: {} is no utility; it must be 0 or more",
                 self.grades[at].gain
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -357,6 +357,7 @@
     pub fn settled(&mut self, now: Time, ix: SessIx, how: How, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
         let (server, load, phase) = (sess.server, sess.load, std::mem::take(&mut sess.phase));
+        let (sent, dials) = (sess.sent, sess.dials);
         if !how.never_ran() {
             sess.may_have_run.get_or_insert((server, sess.sent));
         }
@@ -372,9 +373,10 @@
             self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
         }
         self.servers[server].ended(now, how, false);
-        if how == How::Unsent && self.sessions[ix].dials > 1 {
-            // It was none: the ration does not count it.
-            self.further.pop_back();
+        if how == How::Unsent && dials > 1 {
+            // It was none: the ration does not count it, but still those that others have sent since.
+            let own = self.further.iter().rposition(|t| *t == sent);
+            own.and_then(|at| self.further.remove(at));
         }
         if over {
             self.remove(ix);
