At a cold server every session counts for its group, and the mean keeps to what falls

Cause: within_budget (balancer.rs) counted a group only where its client comes again, by a guess that is half of what it is; place() gave a fresh process the whole overload span as credit, as its killed forerunner had spent it; and the mean, four times the multiple less one, is over n + 3 x root of n + 3 at large servers by itself. Ruled out: late lists, lookup, one proxy's turns, walking past cold servers (counting them changed no worst case). Change: each session with a group key counts for it, no smaller than groups are on the mean; all send n and its root on average; credit runs from a process's start.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -63,16 +63,11 @@
 const FLOOR: f64 = 0.02;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
 const MEMORY: f64 = 256.0;
-/// A cold server is sent so many times what would fill it over its warm-up at the multiple less one, read
-/// with the least share and the longest warm-up that the settings allow: the rest is left for bursts.
-const WARY: f64 = 4.0;
-/// And at most this share of what makes it fall over within the span in which that is counted.
-const BURST: f64 = 0.5;
 /// Pairs of one group and pairs in all that are supposed to have been seen before any is: a proxy of a few
 /// sessions takes two that share a group by chance for no large one. It may hurt where all are of one group.
 const SUPPOSED: (u64, f64) = (1, 50.0);
-/// Pairs of our own sessions in one group that are thought unseen, where a group comes again at once.
-const UNSEEN: u64 = 2;
+/// The same where a group may come all at once to a server that has just started.
+const UNSEEN: (u64, f64) = (3, 50.0);
 /// The most successes that speak for a server.
 const TRUSTED: f64 = 8.0;
 
@@ -237,8 +232,8 @@
     /// Sessions that servers told they hold, and for how much weight at full load, over the latest answers.
     told: f64,
     full: f64,
-    /// When a session last came.
-    came: Option<Time>,
+    /// When a session last came, or this process started: what was due earlier is its forerunner's, and spent.
+    came: Time,
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
@@ -277,7 +272,7 @@
             notes: 0.0,
             told: 0.0,
             full: 0.0,
-            came: None,
+            came: now,
             out: 0.0,
             window: f64::INFINITY,
             hope: 1.0,
@@ -347,8 +342,7 @@
         let ix = self.enter(now, ask);
         self.taken.extend(self.set.ration.map(|_| now));
         self.spare(now);
-        let span = self.set.overload_for;
-        let gap = self.came.replace(now).map_or(span, |last| (now - last).min(span));
+        let gap = (now - std::mem::replace(&mut self.came, now)).min(self.set.overload_for);
         self.sessions[ix].turn = gap as f64 / self.rng.random::<f64>();
         (ix, self.next(now, ix))
     }
@@ -847,11 +841,17 @@
         let share = start + (1.0 - start) * age as f64 / cold as f64;
         let told = self.told / self.full / f64::from(self.set.proxies);
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
-        let pace = (WARY / cold as f64).min(BURST / self.set.overload_for.max(1) as f64);
-        let rate = pace * (self.set.fall_multiple - 1.0) * fill;
-        // A large group that broke or was moved comes again all at once, and to one server: a proxy with a
-        // session or two of it takes care until it has seen that groups are small.
-        let group = if sess.ask.again { self.share(sess.bucket, (UNSEEN, 0.0)) } else { 0.0 };
+        // In the span in which a fall is counted, all proxies send on average no more than the settings allow then
+        // and its root; of the room for chance, three times the root and three, the rest is left for bursts.
+        let (all, span) = (f64::from(self.set.proxies.max(1)), self.set.overload_for.max(1) as f64);
+        let falls = self.set.fall_multiple * fill * all / cold as f64 * span;
+        let rate = (falls + falls.sqrt()) / span / all;
+        // A group comes all at once and to one server, a session or two from each of hundreds of proxies: moved,
+        // broken off, or new to proxies whose forerunners were killed. A proxy takes it for no smaller than groups
+        // are on the mean. It may hurt where sessions share no group: those that do not come at once wait longer.
+        let others = (self.sessions.len() as f64 - 1.0).max(1.0);
+        let mean = (2 * UNSEEN.0 + self.pairs) as f64 / (others * (others + 1.0) + UNSEEN.1);
+        let group = if sess.ask.group_key == 0 { 0.0 } else { self.share(sess.bucket, UNSEEN).max(mean) };
         // Where those before it are full each session walks on to it: it counts by how many they were, so
         // that the sum over all stays bounded. It may hurt where few servers are left.
         let share = (self.weight(s) / weight).max(group) * (full + 1) as f64;
