Lists of 1,024 servers: read on piece by piece, tested in each form and at a handover

Cause: other deployments have hundreds of servers; each piece of 4 KiB of an answer had the head and all chunks parsed again (discovery.rs, get and answer), and a whole list was held against all servers one by one (balancer.rs, heard_list): both quadratic. Change: an Answer keeps how far it was read; heard_list looks the listed ones up. Tests: 1,024 servers plain, indented, chunked and in pieces, all but one removed in one change, a handover's offer of as many; an answer read byte by byte says the same as read at once.

--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -30,6 +30,7 @@
 /// A watch that brings nothing new sooner than this is answered too early; it goes on for 200 ms.
 const EARLY: Duration = Duration::from_millis(100);
 const LONGEST_HEAD: usize = 16 << 10;
+/// Some 4,000 servers, or 2,000 where each stands on lines of its own.
 const LONGEST_BODY: usize = 1 << 20;
 
 /// Follows the list for as long as the proxy runs, always at the latest address that it was given. With a new
@@ -127,12 +128,13 @@
     };
     let ask = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
     stream.write_all(ask.as_bytes()).await?;
+    let mut answer = Answer::default();
     loop {
-        if let Some((list, keep, used)) = answer(&bytes)? {
+        if let Some((list, keep, used)) = answer.read(&bytes)? {
             bytes.drain(..used);
             return Ok((list, keep.then_some((stream, bytes))));
         }
-        let mut chunk = [0; 4096];
+        let mut chunk = [0; 16 << 10];
         match stream.read(&mut chunk).await? {
             0 => return Err(ErrorKind::UnexpectedEof.into()),
             n => bytes.extend_from_slice(&chunk[..n]),
@@ -147,59 +149,101 @@
 /// The list in an answer, whether the connection may be kept, and how many bytes it took; nothing if more
 /// must come.
 pub fn answer(bytes: &[u8]) -> Result<Option<(List, bool, usize)>> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(bytes).map_err(bad)? {
-        httparse::Status::Complete(start) => start,
-        httparse::Status::Partial if bytes.len() > LONGEST_HEAD => return Err(bad("the head is too long")),
-        httparse::Status::Partial => return Ok(None),
-    };
-    if head.code != Some(200) {
-        return Err(bad(format!("status {}", head.code.unwrap_or(0))));
-    }
-    let header = |name: &str| {
-        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
-    };
-    let keep = header("connection").is_none_or(|v| !v.eq_ignore_ascii_case("close"));
-    let (body, used) = if header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
-        match chunked(&bytes[start..])? {
-            Some((body, used)) => (body, start + used),
-            None => return Ok(None),
-        }
-    } else {
-        let length = header("content-length").ok_or_else(|| bad("no length"))?;
-        let length: usize = length.parse().map_err(bad)?;
-        if length > LONGEST_BODY {
-            return Err(bad("the body is too long"));
+    Answer::default().read(bytes)
+}
+
+/// An answer as it comes, piece by piece: what was read of it is not gone over again, but for an unfinished head.
+#[derive(Default)]
+pub struct Answer {
+    keep: bool,
+    body: Option<Body>,
+}
+
+/// How the body comes, and how far it was read.
+enum Body {
+    /// From the first of these bytes to the other.
+    Plain(usize, usize),
+    /// What the chunks before this byte held.
+    Chunked(usize, Vec<u8>),
+}
+
+impl Answer {
+    /// What [`answer`] returns, for all bytes that have come so far.
+    ///
+    /// # Errors
+    /// It is no answer with a list, or longer than one may be.
+    pub fn read(&mut self, bytes: &[u8]) -> Result<Option<(List, bool, usize)>> {
+        if self.body.is_none() && !self.head(bytes)? {
+            return Ok(None);
         }
-        match bytes.get(start..start + length) {
-            Some(body) => (body.to_vec(), start + length),
+        let (list, used) = match &mut self.body {
+            Some(Body::Plain(start, end)) => match bytes.get(*start..*end) {
+                Some(body) => (serde_json::from_slice(body)?, *end),
+                None => return Ok(None),
+            },
+            Some(Body::Chunked(at, body)) => {
+                if !chunks(bytes, at, body)? {
+                    return Ok(None);
+                }
+                (serde_json::from_slice(body)?, *at)
+            }
             None => return Ok(None),
+        };
+        Ok(Some((list, self.keep, used)))
+    }
+
+    /// Reads the head: whether it is whole.
+    fn head(&mut self, bytes: &[u8]) -> Result<bool> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut head = httparse::Response::new(&mut headers);
+        let start = match head.parse(bytes).map_err(bad)? {
+            httparse::Status::Complete(start) => start,
+            httparse::Status::Partial if bytes.len() > LONGEST_HEAD => {
+                return Err(bad("the head is too long"));
+            }
+            httparse::Status::Partial => return Ok(false),
+        };
+        if head.code != Some(200) {
+            return Err(bad(format!("status {}", head.code.unwrap_or(0))));
         }
-    };
-    Ok(Some((serde_json::from_slice(&body)?, keep, used)))
+        let header = |name: &str| {
+            let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+            found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+        };
+        self.keep = header("connection").is_none_or(|v| !v.eq_ignore_ascii_case("close"));
+        let chunked = header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
+        self.body = Some(if chunked {
+            Body::Chunked(start, Vec::new())
+        } else {
+            let length = header("content-length").ok_or_else(|| bad("no length"))?;
+            let length: usize = length.parse().map_err(bad)?;
+            if length > LONGEST_BODY {
+                return Err(bad("the body is too long"));
+            }
+            Body::Plain(start, start + length)
+        });
+        Ok(true)
+    }
 }
 
-/// A body in chunks, and how many bytes it took; nothing if more must come.
-fn chunked(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>> {
-    let (mut body, mut at) = (Vec::new(), 0);
+/// Reads whole chunks from a byte on: whether the last one is among them.
+fn chunks(bytes: &[u8], at: &mut usize, body: &mut Vec<u8>) -> Result<bool> {
     loop {
-        let (digits, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+        let (digits, size) = match httparse::parse_chunk_size(&bytes[*at..]) {
             Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
+            Ok(httparse::Status::Partial) => return Ok(false),
             Err(_) => return Err(bad("a chunk without a size")),
         };
         let size = usize::try_from(size).unwrap_or(usize::MAX);
         if size > LONGEST_BODY - body.len().min(LONGEST_BODY) {
             return Err(bad("the body is too long"));
         }
-        at += digits;
-        let Some(chunk) = bytes.get(at..at + size + 2) else { return Ok(None) };
+        let from = *at + digits;
+        let Some(chunk) = bytes.get(from..from + size + 2) else { return Ok(false) };
         body.extend_from_slice(&chunk[..size]);
-        at += size + 2;
+        *at = from + size + 2;
         if size == 0 {
-            return Ok(Some((body, at)));
+            return Ok(true);
         }
     }
 }
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -12,7 +12,8 @@
 use std::thread;
 use std::time::Instant;
 
-use larklink_proxy::handover::wire::word;
+use larklink_proxy::handover::wire::{VERSION, Word, talk, word};
+use larklink_proxy::list::Endpoint;
 use larklink_proxy::room::Room;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -378,6 +379,26 @@
     }
 }
 
+/// An offer of 1,024 servers crosses whole, in far more pieces than the socket holds at once.
+#[test]
+fn an_offer_holds_a_list_of_1024_servers() {
+    let list: Vec<_> = (0..1024)
+        .map(|n| Endpoint {
+            name: format!("server-{n:032}"),
+            address: "127.0.0.1:9000".into(),
+            ..Endpoint::default()
+        })
+        .collect();
+    let (one, other) = UnixStream::pair().unwrap();
+    let (_, mouth) = talk(async_io::Async::new(one).unwrap());
+    let (mut ear, _) = talk(async_io::Async::new(other).unwrap());
+    let offer = Word::Offer { version: VERSION, list };
+    let said = mouth.say(&offer, &[]);
+    let (said, heard) = async_io::block_on(futures_lite::future::zip(said, ear.hear()));
+    said.unwrap();
+    assert_eq!(heard.unwrap(), offer);
+}
+
 /// Two processes never hold more than one may; who gives up lets the other have it.
 #[test]
 fn descriptors_count_for_both() {
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -3,7 +3,7 @@
 use larklink::types::State;
 use larklink_proxy::config::Config;
 use larklink_proxy::delays::Delays;
-use larklink_proxy::discovery::{answer, pause};
+use larklink_proxy::discovery::{Answer, answer, pause};
 use larklink_proxy::lines::{Inbox, LONGEST, Word, head, report, with_wait, word};
 use larklink_proxy::list::{Endpoint, server_id};
 use proptest::prelude::*;
@@ -107,6 +107,12 @@
         for n in 0..text.len() {
             assert!(answer(&text.as_bytes()[..n]).unwrap().is_none(), "{n} of {} bytes", text.len());
         }
+        let mut by_pieces = Answer::default();
+        let cut = |n| by_pieces.read(&text.as_bytes()[..n]).unwrap();
+        assert_eq!(
+            (1..=text.len()).filter_map(cut).map(|(list, _, used)| (list.index, used)).last(),
+            Some((43, text.len()))
+        );
         let (list, keep, used) = answer(text.as_bytes()).unwrap().unwrap();
         assert_eq!((list.index, list.endpoints.len(), keep, used), (43, 1, kept, text.len()));
     }
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -542,6 +542,53 @@
     assert!(gaps.iter().all(|gap| *gap < grace), "{gaps:?}");
 }
 
+/// Plain, indented, in chunks, in pieces: 1,024 servers, all but one of which go in one change.
+#[test]
+fn a_list_of_1024_servers_is_heard_however_it_is_written() {
+    let all = |address, status: &str| -> Vec<_> {
+        (0..1024).map(|n| endpoint(&format!("s-{n:08x}"), address, status)).collect()
+    };
+    let indented = |text: &str| {
+        serde_json::to_string_pretty(&serde_json::from_str::<serde_json::Value>(text).unwrap()).unwrap()
+    };
+    let chunked = |text: &str| {
+        let chunks = text
+            .as_bytes()
+            .chunks(777)
+            .map(|c| format!("{:x}\r\n{}\r\n", c.len(), String::from_utf8_lossy(c)));
+        format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+            chunks.collect::<String>()
+        )
+    };
+    for form in 0..3 {
+        let ((listener, at), (agent, discovery)) = (server(), server());
+        let proxy = start(&[], discovery, "proxy", 1024);
+        let mut watch = Peer::accept(&agent);
+        let mut tell = |index, whole, endpoints: &[String]| {
+            asked(&mut watch);
+            let text = list(index, whole, endpoints);
+            match form {
+                0 => told(&mut watch, &text),
+                1 => told(&mut watch, &indented(&text)),
+                _ => chunked(&text)
+                    .as_bytes()
+                    .chunks(1000)
+                    .for_each(|p| watch.0.get_mut().write_all(p).unwrap()),
+            }
+        };
+        tell(41, true, &all(at, "up"));
+        tell(42, false, &[]);
+        standing(proxy.address, &listener);
+        tell(43, false, &all(nobody(), "removed")[1..]);
+        tell(44, false, &[]);
+        // Only the first is left, whatever a session's key.
+        for key in 0..8 {
+            standing_by(&open(&format!("c=chat,t=acme,d=2000,g={key}")), proxy.address, &listener);
+        }
+    }
+}
+
 #[test]
 fn a_proxy_that_stops_answers_new_sessions_and_moves_what_it_holds() {
     let (listener, at) = server();
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -5,7 +5,7 @@
 //! seen (`stood`, `noted`, `probed`, `left`); after each call, and when [`Balancer::due`] has come, carry out
 //! what [`Balancer::chores`] returns. No call blocks. Its interface, plain values, is defined in `types.rs`.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
@@ -288,7 +288,8 @@
     /// The server list, or what changed in it.
     pub fn heard_list(&mut self, now: Time, scope: Scope, entries: &[Entry]) {
         if scope != Scope::Changes {
-            let missing = |s: &&mut Server| s.ready() && !entries.iter().any(|e| e.server == s.entry.server);
+            let listed: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
+            let missing = |s: &&mut Server| s.ready() && !listed.contains(&s.entry.server);
             for s in self.servers.iter_mut().filter(missing) {
                 (s.entry.state, s.told) = (State::Gone, Some(now));
             }
