--- a/crates/larklink-fleet/src/lease.rs
+++ b/crates/larklink-fleet/src/lease.rs
@@ -5,8 +5,8 @@
 //! and when [`Lease::due`] has come. Right before an act look at [`Lease::may_act`], let the act carry its token, and
 //! look again after it.
 //!
-//! The times are those of a clock that goes on while the machine sleeps and is never set. Safe are two things whatever
-//! the register does: a holder counts from before it asked, and a candidate from after it heard.
+//! The times are those of a clock that goes on while the machine sleeps and is never set. That no two act at once rests
+//! on two things: a holder counts from before it asked, and a candidate from after it heard.
 use std::marker::PhantomData;
 
 use larklink::types::Time;
@@ -23,6 +23,8 @@
 const AGAIN: Time = 10;
 /// The least that a span is over the bound on a call: renewals need room to fail and be made again.
 pub const SPAN_OVER_CALL: Time = 10;
+/// The longest span, a day: a lost holder costs as much.
+const LONGEST: Time = 24 * 3_600 * 10_000;
 
 /// One process: a name started again is another member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -73,6 +75,9 @@
                 self.span, self.call
             ));
         }
+        if self.span > LONGEST {
+            return Err(format!("span: {} tenths of a millisecond are over a day", self.span));
+        }
         if self.act >= self.span / 2 {
             return Err(format!(
                 "act: {} leaves less than half of the span, {}, to act in",
@@ -118,7 +123,9 @@
 
     /// From when on a record first heard of then, and unchanged since, may be overtaken.
     fn overtakes_at(heard: Time, span: Time, drift: u32) -> Time {
-        heard + (span * (MILLION + Time::from(drift))).div_ceil(MILLION)
+        // The span stands in a record that others wrote.
+        let longer = (u128::from(span) * u128::from(MILLION + Time::from(drift))).div_ceil(MILLION.into());
+        heard.saturating_add(Time::try_from(longer).unwrap_or(Time::MAX))
     }
 
     /// From when on a write counts that is made again after one without an answer, which may have taken effect.
@@ -306,7 +313,7 @@
                 if now < at {
                     return Some(Ask::Read { newer: Some(heard.index), wait: at - now });
                 }
-                write(Some(&self.me), record.as_ref().map_or(0, |record| record.term) + 1)
+                write(Some(&self.me), record.as_ref().map_or(0, |record| record.term).saturating_add(1))
             }
         }
     }
--- a/crates/larklink-world/tests/lease.rs
+++ b/crates/larklink-world/tests/lease.rs
@@ -152,6 +152,7 @@
         (Terms { call: 12, ..terms() }, "span"),
         (Terms { act: 55, ..terms() }, "act"),
         (Terms { call: 0, ..terms() }, "call"),
+        (Terms { span: u64::MAX, ..terms() }, "span"),
     ] {
         assert!(wrong.check().unwrap_err().starts_with(name), "{wrong:?}");
     }
