From reading the change again: one reader of answers, lost leases told alike

Cause: answer() was left for tests alone; follow() was handed a copy of all settings for two figures; the model register kept an index that its history tells; a lease lost with the register's state, or to a write of its own that it cannot name, was told to nobody. Change: tests read by Answer, two figures are passed, the index is derived, one place loses a lease and says so.

--- a/crates/larklink-fleet/src/lease.rs
+++ b/crates/larklink-fleet/src/lease.rs
@@ -149,7 +149,7 @@
     first: Time,
 }
 
-/// A call that is out, and the earliest asking time of any write that may have taken effect at its index.
+/// The index that writes of unknown outcome named, and the earliest time at which one of them was asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Doubt {
     cas: u64,
@@ -373,6 +373,13 @@
         self.held = Some(Held { until, token, term, asked });
     }
 
+    /// What was held is not any more.
+    fn lose(&mut self, to: Option<Member>) {
+        if self.held.take().is_some() {
+            self.change = Some(Change::Lost { to });
+        }
+    }
+
     fn read(&mut self, now: Time, holds: Option<(u64, Record)>) {
         let (index, record) = holds.map_or((0, None), |(index, record)| (index, Some(record)));
         self.reads = false;
@@ -380,7 +387,7 @@
         let mine = record.as_ref().filter(|r| r.holder.as_ref() == Some(&self.me));
         if index < known {
             // A register that has lost its state: all begins anew, and somebody may hold what it has forgotten.
-            self.held = None;
+            self.lose(None);
             self.takes = L::overtakes_at(now, self.terms.span, self.terms.drift);
         } else if index == known && self.heard.is_some() {
             // A write in doubt at this index may still take effect; its asking time stays known.
@@ -391,10 +398,9 @@
             if let Some(doubt) = self.doubt.take().filter(|d| d.cas == known) {
                 return self.wrote(now, doubt.asked, index, record.clone());
             }
-            self.held = None;
-        } else if self.held.take().is_some() {
-            let to = record.as_ref().and_then(|r| r.holder.clone());
-            self.change = Some(Change::Lost { to });
+            self.lose(None);
+        } else {
+            self.lose(record.as_ref().and_then(|r| r.holder.clone()));
         }
         // What was written at an earlier index can take effect no more.
         self.doubt = None;
--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -7,7 +7,7 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
-use larklink::types::{Scope, Settings};
+use larklink::types::{Scope, Time};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -38,11 +38,12 @@
 pub async fn follow(
     mut agent: SocketAddr,
     moved: Receiver<SocketAddr>,
-    settings: &Settings,
+    must_ask_in: Time,
+    drain_grace: Time,
     queue: Queue,
     mut chance: ChaCha8Rng,
 ) {
-    let (wait, grace) = (span(settings.must_ask_in) / WAIT, span(settings.drain_grace));
+    let (wait, grace) = (span(must_ask_in) / WAIT, span(drain_grace));
     let silence = if grace.is_zero() { FIRST_PAUSE } else { grace / OF_GRACE };
     loop {
         let new = async {
@@ -146,12 +147,6 @@
     Error::new(ErrorKind::InvalidData, text.to_string())
 }
 
-/// The list in an answer, whether the connection may be kept, and how many bytes it took; nothing if more
-/// must come.
-pub fn answer(bytes: &[u8]) -> Result<Option<(List, bool, usize)>> {
-    Answer::default().read(bytes)
-}
-
 /// An answer as it comes, piece by piece: what was read of it is not gone over again, but for an unfinished head.
 #[derive(Default)]
 pub struct Answer {
@@ -168,7 +163,8 @@
 }
 
 impl Answer {
-    /// What [`answer`] returns, for all bytes that have come so far.
+    /// From all bytes that have come so far: the list, whether the connection may be kept, and how many bytes it took;
+    /// nothing if more must come.
     ///
     /// # Errors
     /// It is no answer with a list, or longer than one may be.
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -3,7 +3,7 @@
 use larklink::types::State;
 use larklink_proxy::config::Config;
 use larklink_proxy::delays::Delays;
-use larklink_proxy::discovery::{Answer, answer, pause};
+use larklink_proxy::discovery::{Answer, pause};
 use larklink_proxy::lines::{Inbox, LONGEST, Word, head, report, with_wait, word};
 use larklink_proxy::list::{Endpoint, server_id};
 use proptest::prelude::*;
@@ -105,7 +105,11 @@
     );
     for (text, kept) in [(plain, true), (chunked, false)] {
         for n in 0..text.len() {
-            assert!(answer(&text.as_bytes()[..n]).unwrap().is_none(), "{n} of {} bytes", text.len());
+            assert!(
+                Answer::default().read(&text.as_bytes()[..n]).unwrap().is_none(),
+                "{n} of {} bytes",
+                text.len()
+            );
         }
         let mut by_pieces = Answer::default();
         let cut = |n| by_pieces.read(&text.as_bytes()[..n]).unwrap();
@@ -113,7 +117,7 @@
             (1..=text.len()).filter_map(cut).map(|(list, _, used)| (list.index, used)).last(),
             Some((43, text.len()))
         );
-        let (list, keep, used) = answer(text.as_bytes()).unwrap().unwrap();
+        let (list, keep, used) = Answer::default().read(text.as_bytes()).unwrap().unwrap();
         assert_eq!((list.index, list.endpoints.len(), keep, used), (43, 1, kept, text.len()));
     }
 }
@@ -129,7 +133,7 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffff\r\n",
         "not http at all\r\n\r\n",
     ] {
-        assert!(answer(text.as_bytes()).is_err(), "{text}");
+        assert!(Answer::default().read(text.as_bytes()).is_err(), "{text}");
     }
 }
 
@@ -165,7 +169,7 @@
 
     #[test]
     fn any_bytes_are_a_head_or_an_error(mut line in prop::collection::vec(any::<u8>(), 0..80), at in 0..80usize, b: u8) {
-        let _ = (head(&line), word(&line), answer(&line));
+        let _ = (head(&line), word(&line), Answer::default().read(&line));
         line = HEAD.to_vec();
         let at = at % line.len();
         line[at] = b;
--- a/crates/larklink-world/src/register.rs
+++ b/crates/larklink-world/src/register.rs
@@ -13,13 +13,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Register<V> {
     history: Vec<Took<V>>,
-    /// Writes to other keys count on the same index.
-    index: u64,
 }
 
 impl<V> Default for Register<V> {
     fn default() -> Self {
-        Self { history: Vec::new(), index: 0 }
+        Self { history: Vec::new() }
     }
 }
 
@@ -35,9 +33,8 @@
         if cas != latest {
             return None;
         }
-        self.index += 1;
-        self.history.push(Took { by, index: self.index, value });
-        Some(self.index)
+        self.history.push(Took { by, index: latest + 1, value });
+        Some(latest + 1)
     }
 
     /// All writes, in the order in which they took effect.
