Connections that stood before the start are taken whatever their d says

Cause: head() refused any d over an hour (lines.rs, LONGEST_WAIT). Change: for a line with at= the figure is bounded, not refused.

--- a/crates/larklink-proxy/src/lines.rs
+++ b/crates/larklink-proxy/src/lines.rs
@@ -106,10 +106,7 @@
             "c" => listener = Some(value),
             "d" => {
                 let digits = value.bytes().all(|b| b.is_ascii_digit());
-                let ms = digits.then(|| value.parse().ok()).flatten().ok_or("d is not a number")?;
-                if ms > LONGEST_WAIT {
-                    return Err("d is too long");
-                }
+                let ms: u64 = digits.then(|| value.parse().ok()).flatten().ok_or("d is not a number")?;
                 wait = Some((ms, end - value.len()..end));
             }
             "g" => head.group = hex(value).ok_or("g is not a hex number")?,
@@ -127,7 +124,13 @@
         return Err("a name that stands twice");
     }
     head.listener = listener.ok_or("no listener")?;
-    (head.wait_ms, head.wait_at) = wait.ok_or("no dial timeout")?;
+    let (ms, at) = wait.ok_or("no dial timeout")?;
+    // One that stood before the proxy's start waits for no server: its figure is whatever its life was to be, and who
+    // is turned away for that loses a connection that stands. It is bounded only for the sums that follow.
+    if ms > LONGEST_WAIT && head.at.is_none() {
+        return Err("d is too long");
+    }
+    (head.wait_ms, head.wait_at) = (ms.min(LONGEST_WAIT), at);
     Ok(head)
 }
 
