Lists: refusals, drips, resets and second answers no longer hide a drain

Cause (discovery.rs, watch and get): what a local agent has counts as told at once, yet a refused or spoilt answer led to a pause of up to half a watch's wait, 1.25 s where a grace is 0.5; an answer that dripped was waited for up to the whole limit, 3 s; a kept connection that was reset cost a pause; a whole list that came a second time, late, replaced a newer one, so that draining servers were ready again. Change: where lists are pushed every pause keeps to a quarter of the grace; an answer that has begun is whole within that, twice as long after each failure; a kept connection that ends without a byte is replaced at once; a whole list older than the one we have is not taken from a kept connection; bytes behind an answer end its connection. Where lists are asked for of a shared service refusals keep their long pauses.

--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -1,4 +1,5 @@
 //! Follows the list of servers: one kept HTTP connection to the agent, a watch after a watch.
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, TcpStream};
@@ -23,9 +24,10 @@
 /// After a first failure the wait is drawn from up to so much, and after each further one from up to twice as much.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
-/// While the agent says nothing at all, no pause takes more than this share of a drain's grace: what the agent gets
-/// when discovery is back counts as told at once, and a call that already waits is answered in that moment. It may
-/// hurt where an agent refuses connections for long: each proxy then asks it some ten times a second.
+/// No pause takes more than this share of a drain's grace, nor does an answer that has begun: what the agent has counts
+/// as told at once, whatever comes of the call that should have brought it. It may hurt where an agent refuses for
+/// long: each proxy then asks it some ten times a second. Only where lists are asked for of a service that all proxies
+/// share do refusals lead to longer pauses. An answer may take twice as long after each that took too long.
 const OF_GRACE: u32 = 4;
 /// A watch that brings nothing new sooner than this is answered too early; it goes on for 200 ms.
 const EARLY: Duration = Duration::from_millis(100);
@@ -38,13 +40,14 @@
 pub async fn follow(
     mut agent: SocketAddr,
     moved: Receiver<SocketAddr>,
-    must_ask_in: Time,
-    drain_grace: Time,
+    (must_ask_in, drain_grace): (Time, Time),
+    on_request: bool,
     queue: Queue,
     mut chance: ChaCha8Rng,
 ) {
     let (wait, grace) = (span(must_ask_in) / WAIT, span(drain_grace));
-    let silence = if grace.is_zero() { FIRST_PAUSE } else { grace / OF_GRACE };
+    let soon = if grace.is_zero() { FIRST_PAUSE } else { grace / OF_GRACE }.min(wait / 2);
+    let paces = Paces { wait, soon, refused: if on_request { wait / 2 } else { soon } };
     loop {
         let new = async {
             match moved.recv().await {
@@ -52,19 +55,21 @@
                 Err(_) => future::pending().await,
             }
         };
-        let old = async { match watch(agent, wait, silence, &queue, &mut chance).await {} };
+        let old = async { match watch(agent, &paces, &queue, &mut chance).await {} };
         agent = new.or(old).await;
     }
 }
 
-async fn watch(
-    agent: SocketAddr,
+/// How long a watch waits, and the longest pauses after an agent that was silent and after one that refused.
+struct Paces {
     wait: Duration,
-    silence: Duration,
-    queue: &Queue,
-    chance: &mut ChaCha8Rng,
-) -> Infallible {
-    let (mut link, mut index, mut lost, mut failed) = (None, None, false, 0);
+    soon: Duration,
+    refused: Duration,
+}
+
+async fn watch(agent: SocketAddr, paces: &Paces, queue: &Queue, chance: &mut ChaCha8Rng) -> Infallible {
+    let (mut link, mut index, mut lost, mut failed): (Option<Kept>, _, _, u32) = (None, None, false, 0);
+    let Paces { wait, soon, refused } = *paces;
     loop {
         let path = match index {
             // The whole list first: the one we were born with may be old.
@@ -72,7 +77,17 @@
             Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
         };
         let (kept, asked, last) = (link.take(), Instant::now(), index);
-        match within(wait + SLACK, get(agent, kept, &path)).await {
+        let was_kept = kept.is_some();
+        let rest = soon * 2u32.saturating_pow(failed.min(4));
+        let begun = Cell::new(false);
+        match within(wait + SLACK, get(agent, kept, &path, rest, &begun)).await {
+            // A kept connection may have been closed meanwhile, which says nothing of the agent.
+            Err(e) if was_kept && !begun.get() && e.kind() != ErrorKind::TimedOut => {}
+            // A second answer to an earlier call, with what was true then: servers that drain would be ready again.
+            Ok((list, _)) if was_kept && index.is_some_and(|last| list.snapshot && list.index < last) => {
+                tracing::warn!("discovery: the whole list as of {}, older than the one we have", list.index);
+                index = None;
+            }
             Ok((list, again)) => {
                 link = again;
                 if std::mem::take(&mut lost) {
@@ -93,7 +108,7 @@
                     tracing::warn!("discovery: changes up to {}, older than the list we have", list.index);
                     index = None;
                     failed += 1;
-                    Timer::after(pause(failed, wait / 2, chance)).await;
+                    Timer::after(pause(failed, refused, chance)).await;
                 }
             }
             Err(e) => {
@@ -103,7 +118,7 @@
                 }
                 queue.send(Event::ListFailed).await;
                 failed += 1;
-                let most = if e.kind() == ErrorKind::InvalidData { wait / 2 } else { silence.min(wait / 2) };
+                let most = if e.kind() == ErrorKind::InvalidData { refused } else { soon };
                 Timer::after(pause(failed, most, chance)).await;
             }
         }
@@ -111,36 +126,46 @@
 }
 
 /// How long to wait after so many failures in a row, drawn by chance: proxies that lost discovery together must
-/// not come back together, nor ask as often as ever of a service that has more to do than it can. No more than `most`:
-/// half a watch's wait where the service answers that it cannot, so that nobody counts as told of what it did not ask
-/// for; far less where it is silent.
+/// not come back together, nor ask as often as ever of a service that has more to do than it can. No more than `most`.
 pub fn pause(failed: u32, most: Duration, chance: &mut ChaCha8Rng) -> Duration {
     let grown = (FIRST_PAUSE * 2u32.saturating_pow(failed.saturating_sub(1).min(16))).min(most);
     LEAST_PAUSE.min(most / 2).max(grown.mul_f64(chance.random()))
 }
 
-type Kept = (Async<TcpStream>, Vec<u8>);
+type Kept = Async<TcpStream>;
 
-/// One call; also the connection, if it is good for another.
-async fn get(agent: SocketAddr, kept: Option<Kept>, path: &str) -> Result<(List, Option<Kept>)> {
-    let (mut stream, mut bytes) = match kept {
+/// One call; also the connection, if it is good for another. An answer that has `begun` is whole within `rest`, or is
+/// given up: one that never ends must not keep us from what the agent has since.
+async fn get(
+    agent: SocketAddr,
+    kept: Option<Kept>,
+    path: &str,
+    rest: Duration,
+    begun: &Cell<bool>,
+) -> Result<(List, Option<Kept>)> {
+    let mut stream = match kept {
         Some(kept) => kept,
-        None => (within(SLACK, Async::<TcpStream>::connect(agent)).await?, Vec::new()),
+        None => within(SLACK, Async::<TcpStream>::connect(agent)).await?,
     };
     let ask = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
     stream.write_all(ask.as_bytes()).await?;
-    let mut answer = Answer::default();
-    loop {
-        if let Some((list, keep, used)) = answer.read(&bytes)? {
-            bytes.drain(..used);
-            return Ok((list, keep.then_some((stream, bytes))));
-        }
-        let mut chunk = [0; 16 << 10];
-        match stream.read(&mut chunk).await? {
-            0 => return Err(ErrorKind::UnexpectedEof.into()),
-            n => bytes.extend_from_slice(&chunk[..n]),
+    stream.readable().await?;
+    let answer = async {
+        let (mut answer, mut bytes, mut chunk) = (Answer::default(), Vec::new(), vec![0; 16 << 10]);
+        loop {
+            match stream.read(&mut chunk).await? {
+                0 => return Err(ErrorKind::UnexpectedEof.into()),
+                n => bytes.extend_from_slice(&chunk[..n]),
+            }
+            begun.set(true);
+            if let Some((list, keep, used)) = answer.read(&bytes)? {
+                // Bytes that nobody asked for would be taken for the next answer.
+                return Ok((list, keep && used == bytes.len()));
+            }
         }
-    }
+    };
+    let (list, keep) = within(rest, answer).await?;
+    Ok((list, keep.then_some(stream)))
 }
 
 fn bad(text: impl ToString) -> Error {
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -86,8 +86,8 @@
         fresh,
     );
     executor.spawn(owner.run(events)).detach();
-    let (ask_in, grace) = (facts.settings.must_ask_in, facts.settings.drain_grace);
-    let watch = discovery::follow(config.discovery, moved, ask_in, grace, queue.clone(), chance(1));
+    let (spans, asks) = ((facts.settings.must_ask_in, facts.settings.drain_grace), facts.settings.on_request);
+    let watch = discovery::follow(config.discovery, moved, spans, asks, queue.clone(), chance(1));
     executor.spawn(watch).detach();
     let room = Room::new(sockets - reserved);
     let front = Rc::new(Front {
