Ends in good order: rests, stops, floods; tests that hold the bad order for each

Cause, in clients.rs and proxy.rs: a resting connection was dropped after its 2 s without a last look or a shutdown, so what came in that instant met a reset; guests that give way were read once and closed; at a stop the listener's end reset what the kernel had taken, resting connections lived on to the exit, and sessions with more time than the process were cut without an answer; up() did not look at overdue lines while its server took none. Change: a last look, then shutdown and reading to the end; the kernel's queue is taken over before the listener closes; 0.1 s later those end that have said nothing; who waits has the last answer 0.1 s before the exit, BUSY if nothing was sent, else ERR; times are cut to what the process has left; a write that hangs counts as silence. Not tested: the kernel's queue at a stop, as no far side can hold the moment between two calls of ours.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -35,8 +35,12 @@
 /// connection and could take our last line with them. While bytes still come it may take longer.
 const LINGER: Duration = Duration::from_millis(500);
 const DRAIN: Duration = Duration::from_secs(3);
+/// Who waits when a process ends has the last answer so long before; so long after the listener is closed those end
+/// that have not said what they want.
+const LAST: Duration = Duration::from_millis(100);
 /// Bytes of that which are read at once.
 const GULP: usize = 64 << 10;
+const SWALLOWED: usize = 16;
 /// A client that is to move gets the line within this time, or is cut off.
 const STUCK: Duration = Duration::from_secs(1);
 /// A connection on which a line has brought nothing back for this long is silent: a sound one brings one back at
@@ -63,6 +67,8 @@
     pub chance: RefCell<ChaCha8Rng>,
     /// Closes when the proxy is to stop; it may run on for so long after that.
     pub stop: Receiver<()>,
+    /// Closes when no more connections are taken.
+    pub closed: Receiver<Infallible>,
     pub last: Duration,
     pub stopped: Cell<Option<Instant>>,
     pub next: Cell<u32>,
@@ -163,8 +169,13 @@
 
 fn busy_at_once(stream: &Async<TcpStream>) {
     let _ = std::io::Write::write(&mut stream.get_ref(), b"BUSY\r\n");
-    // What has come already would make its end a reset.
-    let _ = swallow(stream.get_ref());
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    // What has come already would make its end a reset. Who sends on is not waited for: his descriptor is needed.
+    for _ in 0..SWALLOWED {
+        if !matches!(swallow(stream.get_ref()), Ok(n) if n > 0) {
+            break;
+        }
+    }
 }
 
 fn log_end(session: Option<u32>, reason: Reason, started: Instant) {
@@ -184,21 +195,31 @@
         let give_way = client.place.must_go();
         let give_way = async {
             give_way.await;
-            None
+            Err(Reason::NoRoom)
         };
-        let first = async { Some(first_line(client).await) };
-        let line = match first.or(give_way).await {
-            Some(Ok(line)) => line,
-            Some(Err(reason)) => {
-                if matches!(reason, Reason::BadLine | Reason::HeadStalled) {
-                    answer(client, "ERR\r\n").await;
+        let closed = async {
+            let _ = self.closed.recv().await;
+            Timer::after(LAST).await;
+            Err(Reason::Stopped)
+        };
+        let mut line = first_line(client).or(give_way).or(closed).await;
+        // A line that has come by now is answered like any other: nobody is there to send it again.
+        if matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled))
+            && client.link.has_line()
+        {
+            line = first_line(client).await;
+        }
+        let line = match line {
+            Ok(line) => line,
+            Err(reason) => {
+                match reason {
+                    Reason::NoRoom => busy_at_once(&client.link.stream),
+                    Reason::BadLine | Reason::HeadStalled => answer(client, "ERR\r\n").await,
+                    // In good order: what comes in this instant must not be met by a reset.
+                    _ => close(&client.link).or(client.place.must_go()).await,
                 }
                 return (None, reason);
             }
-            None => {
-                busy_at_once(&client.link.stream);
-                return (None, Reason::NoRoom);
-            }
         };
         let head = head(&line).and_then(|h| {
             let listener = self.listener(&h).ok_or("no such listener")?;
@@ -234,15 +255,26 @@
         head: Head<'_>,
         listener: usize,
     ) -> Reason {
-        let ask = asks(&head, listener);
+        let mut ask = asks(&head, listener);
+        if self.stop.is_closed() {
+            // It has to have its answer before this process ends.
+            let left = (self.until() - LAST).saturating_duration_since(client.came);
+            ask.patience = ask.patience.min(tenths(left));
+        }
         let (sender, orders) = async_channel::bounded(4);
         if let Some(at) = head.at {
             return self.stand(session, client, line, ask, server_id(at), (sender, orders)).await;
         }
         self.queue.send(Event::Open { session, came: client.came, ask, orders: sender }).await;
+        let may_have_run = Cell::new(false);
         let reason = loop {
             let order = async { orders.recv().await.ok().ok_or(Reason::ClientLeft) };
-            match order.or(stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow)).await {
+            let last = async {
+                self.last_call().await;
+                Err(Reason::Stopped)
+            };
+            let stirs_first = stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow);
+            match order.or(stirs_first).or(last).await {
                 // Only the first needs another descriptor: nothing has run.
                 Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
                 Ok(Order::Dial { dial: number, server, address, until, by }) => {
@@ -250,7 +282,12 @@
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let permit = Permit { dial: number, by: by.into(), until, sent: false.into() };
                     let Link { stream, inbox } = &mut client.link;
-                    let may_send = || waits_still(stream.get_ref(), head.mid_flow) && permit.take();
+                    let ran_before = may_have_run.get();
+                    let may_send = || {
+                        let may = waits_still(stream.get_ref(), head.mid_flow) && permit.take();
+                        may_have_run.set(may || ran_before);
+                        may
+                    };
                     let timeout = self.connect_timeout;
                     let work = async {
                         Ok(match address {
@@ -259,13 +296,18 @@
                         })
                     };
                     let over = async { Ok(Err(permit.over(&orders).await)) };
-                    match over.or(stirs(stream, inbox, head.mid_flow)).or(work).await {
+                    let last = async {
+                        self.last_call().await;
+                        Err(Reason::Stopped)
+                    };
+                    match over.or(stirs(stream, inbox, head.mid_flow)).or(work).or(last).await {
                         Err(reason) => break reason,
                         Ok(Err(How::Unsent)) if !waits_still(stream.get_ref(), head.mid_flow) => {
                             let Err(reason) = stirs::<Infallible>(stream, inbox, head.mid_flow).await;
                             break reason;
                         }
                         Ok(Err(how)) => {
+                            may_have_run.set(ran_before || !how.never_ran());
                             self.queue.send(Event::Settled { session, dial: number, how, over: false }).await
                         }
                         Ok(Ok(link)) => {
@@ -303,11 +345,11 @@
         };
         self.queue.send(Event::Left { session }).await;
         match reason {
-            Reason::NoRoom => {
+            Reason::NoRoom | Reason::Stopped if !may_have_run.get() => {
                 self.figures.answered(listener, Answer::Refused);
                 answer(client, "BUSY\r\n").await;
             }
-            Reason::BadLine => {
+            Reason::BadLine | Reason::NoRoom | Reason::Stopped => {
                 self.figures.answered(listener, Answer::Failed);
                 answer(client, "ERR\r\n").await;
             }
@@ -342,6 +384,12 @@
         (session, (Named(self, head.id), self.figures.taken()))
     }
 
+    /// Resolves when there is no more time for an answer: who still waits then has the last one.
+    async fn last_call(&self) {
+        let _ = self.stop.recv().await;
+        Timer::at(self.until() - LAST).await;
+    }
+
     fn listener(&self, head: &Head<'_>) -> Option<usize> {
         self.listeners.iter().position(|l| l == head.listener)
     }
@@ -508,10 +556,13 @@
             // Each part is taken out once it is written: this may end at any wait, and the rest goes on elsewhere.
             while !inbox.bytes().is_empty() {
                 let mut to_server = self.to_server;
-                let n = match to_server.write(inbox.bytes()).await {
-                    Ok(n) if n > 0 => n,
+                // A server that hangs takes nothing in the end: the lines before tell of it.
+                let written = async { Ok(to_server.write(inbox.bytes()).await) };
+                let n = match written.or(async { Err(self.overdue().await) }).await {
+                    Ok(Ok(n)) if n > 0 => n,
                     // What the server has still to say, and how it ended, shows on the way down.
-                    _ => return future::pending().await,
+                    Ok(_) => return future::pending().await,
+                    Err(end) => return end,
                 };
                 let lines = inbox.bytes()[..n].iter().filter(|&&b| b == b'\n').count();
                 inbox.consume(n);
@@ -733,7 +784,7 @@
             Err(e) => {
                 return Err(match e.kind() {
                     ErrorKind::InvalidData => Reason::BadLine,
-                    _ if pinged => Reason::Pinged,
+                    _ if pinged && client.link.inbox.bytes().is_empty() => Reason::Pinged,
                     ErrorKind::TimedOut => Reason::HeadStalled,
                     _ => Reason::ClientLeft,
                 });
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -90,6 +90,7 @@
     let watch = discovery::follow(config.discovery, moved, spans, asks, queue.clone(), chance(1));
     executor.spawn(watch).detach();
     let room = Room::new(sockets - reserved);
+    let (open, closed) = async_channel::bounded(1);
     let front = Rc::new(Front {
         queue: queue.clone(),
         figures: Arc::clone(&figures),
@@ -98,6 +99,7 @@
         passes: facts.passes,
         chance: chance(2).into(),
         stop: stop.clone(),
+        closed,
         last: STILL_COMING + span(facts.longest).min(LONGEST),
         stopped: Cell::new(None),
         next: Cell::new(0),
@@ -206,8 +208,17 @@
         }
     };
     accept.or(inherit).or(stopped).await;
+    // What the kernel has taken for us counts as taken: the listener's end would reset it.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        let Ok(stream) = Async::new(stream) else { continue };
+        match front.room.enter() {
+            Some(place) => executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach(),
+            None => clients::turn_away(&stream),
+        }
+    }
     tracing::info!("no more connections are taken: the proxy stops");
     drop(listener);
+    drop(open);
     if let Some(handover) = &handover {
         handover.listener.take();
     }
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -44,6 +44,18 @@
     }
 }
 
+impl Link {
+    /// Whether a whole line stands first, with all that the kernel has by now.
+    pub fn has_line(&mut self) -> bool {
+        while self.inbox.line().is_none() && !self.inbox.is_full() {
+            if !matches!(self.inbox.fill(|buf| self.stream.get_ref().read(buf)), Ok(n) if n > 0) {
+                break;
+            }
+        }
+        self.inbox.line().is_some()
+    }
+}
+
 /// Reads once, when there is something; 0 at the end.
 pub async fn read(stream: &Async<TcpStream>, inbox: &mut Inbox) -> Result<usize> {
     loop {
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -1,8 +1,9 @@
 //! What ends in the instant in which something is still owed, one test for each fault found: the far side holds and
 //! releases, so that the bad order happens every time. `docs/design/endings.md` has the list.
+use std::io::Write;
 use std::net::TcpListener;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 mod stage;
 use stage::peer::{Peer, open};
@@ -92,3 +93,123 @@
     figures_become(&proxy, [0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1]);
     assert_eq!(heads(&deaf.listen()), [""; 0]);
 }
+
+/// An agent that refuses, or whose answer never ends, has what it has: pauses of up to 1.25 s, and 3 s for an answer
+/// that had begun, were longer than the grace of a drain that it told of meanwhile.
+#[test]
+fn an_agent_that_refuses_or_drips_is_asked_again_within_the_grace() {
+    let refused = "HTTP/1.1 503 Overbooked\r\ncontent-length: 0\r\n\r\n";
+    // After each that took too long the next may take twice as long.
+    for (spoilt, times) in [(refused, 10), ("HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{", 1)] {
+        let (agent, discovery) = server();
+        let _proxy = start(&[], discovery, "proxy", 1024);
+        let (mut gaps, mut held) = (Vec::new(), Vec::new());
+        let mut call = Peer::accept(&agent);
+        for _ in 0..times {
+            asked(&mut call);
+            let begun = Instant::now();
+            call.say(spoilt);
+            held.push(call);
+            call = Peer::accept(&agent);
+            gaps.push(begun.elapsed());
+        }
+        assert!(gaps.iter().all(|gap| *gap < Duration::from_millis(500)), "{spoilt}: {gaps:?}");
+    }
+}
+
+/// A pause of 50 ms and more each time, in which a change counts as told.
+#[test]
+fn a_kept_connection_that_ends_is_replaced_at_once() {
+    let (agent, discovery) = server();
+    let _proxy = start(&[], discovery, "proxy", 1024);
+    let mut waited = Duration::ZERO;
+    for index in 41..61 {
+        let mut call = Peer::accept(&agent);
+        asked(&mut call);
+        told(&mut call, &list(index, true, &[]));
+        asked(&mut call);
+        let ended = Instant::now();
+        drop(call);
+        let mut call = Peer::accept(&agent);
+        waited += ended.elapsed();
+        asked(&mut call);
+    }
+    assert!(waited < Duration::from_millis(20 * 50), "{waited:?} for 20 connections");
+}
+
+/// The whole list as it was before a drain, answered a second time and late, made the server ready again.
+#[test]
+fn a_second_answer_with_an_older_list_is_not_taken() {
+    let ((first, a), (second, b), (agent, discovery)) = (server(), server(), server());
+    let proxy = start(&[], discovery, "proxy", 1024);
+    let mut watch = Peer::accept(&agent);
+    let whole = list(41, true, &[endpoint("s-0", a, "up"), endpoint("s-1", b, "up")]);
+    asked(&mut watch);
+    told(&mut watch, &whole);
+    asked(&mut watch);
+    told(&mut watch, &list(42, false, &[endpoint("s-0", a, "draining")]));
+    asked(&mut watch);
+    told(&mut watch, &whole);
+    let mut watch = Peer::accept(&agent);
+    assert_eq!(asked(&mut watch), "/api/targets");
+    for key in 0..8 {
+        standing_by(&open(&format!("c=chat,t=acme,d=2000,g={key}")), proxy.address, &second);
+    }
+    assert_eq!(heads(&first), [""; 0]);
+}
+
+/// It was dropped after its time without a last look: a request that had come met a reset.
+#[test]
+fn who_rests_until_it_is_ended_is_ended_in_good_order() {
+    let proxy = quiet(&[]);
+    let mut rests = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(rests.hear(), "PONG\r\n");
+    rests.ends();
+    // What comes in that instant is read to its end, and no reset takes the end away.
+    let mut rests: Vec<_> = (0..8).map(|_| Peer::connect(proxy.address, "PING\r\n")).collect();
+    for peer in &mut rests {
+        assert_eq!(peer.hear(), "PONG\r\n");
+    }
+    for peer in &mut rests {
+        peer.ends();
+        peer.say(&open("c=chat,d=2000"));
+        peer.ends();
+        peer.say(&open("c=chat,d=2000"));
+        peer.ends();
+    }
+}
+
+/// Connections that the kernel held for the proxy were reset as its listener was closed, and those that had said nothing
+/// yet were cut when it ended; one that came at the last moment with all its time had no answer.
+#[test]
+fn a_proxy_that_stops_answers_all_that_it_had_taken() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let mut rests = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(rests.hear(), "PONG\r\n");
+    let mut hangs = Peer::connect(proxy.address, &open("c=pay,d=60000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    drop(proxy.stop);
+    let mut waits = Peer::connect(proxy.address, &open("c=chat,d=60000"));
+    let mut other = Peer::accept(&listener);
+    other.hear();
+    rests.ends();
+    // It may have run: no harmless refusal. The other may run again at any time.
+    assert_eq!(hangs.hear(), "ERR\r\n");
+    assert_eq!(waits.hear(), "ERR\r\n");
+    proxy.thread.join().unwrap();
+}
+
+/// Its server took nothing any more, and nobody looked: the session stood for as long as both sides did.
+#[test]
+fn a_session_whose_server_takes_no_more_lines_is_moved() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let (mut client, _server) = standing(proxy.address, &listener);
+    let mut says = client.0.get_ref().try_clone().unwrap();
+    let flood =
+        thread::spawn(move || while says.write_all(&[b"a line\r\n".as_slice(); 999].concat()).is_ok() {});
+    assert_eq!(client.hear(), "MOVE\r\n");
+    flood.join().unwrap();
+}
