Settings: a listener named twice is refused; over 255 dials no longer wrap

Cause: a second listener of the same name was never reached (clients.rs, listener), and dials are numbered in a byte (core.rs, act), so that settings with send_cap over 255 made the 256th dial the first again, or a panic in debug builds. Change: an error with the place; the cap is bounded at 255. Without it the new test says «attempt to add with overflow». Measured: tests of larklink-core pass.

--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -232,8 +232,15 @@
                 self.grades[at].gain
             ));
         }
-        let short = self.grades.iter().position(|g| g.deadline_ns < 0)?;
-        Some(format!("grades[{short}].deadline_ns: {} is under 0", self.grades[short].deadline_ns))
+        if let Some(at) = self.grades.iter().position(|g| g.deadline_ns < 0) {
+            return Some(format!("grades[{at}].deadline_ns: {} is under 0", self.grades[at].deadline_ns));
+        }
+        let twice = |at: &usize| self.grades[..*at].iter().any(|g| g.name == self.grades[*at].name);
+        let at = (0..self.grades.len()).find(twice)?;
+        Some(format!(
+            "grades[{at}].name: {:?} stands twice; a session could be of either",
+            self.grades[at].name
+        ))
     }
 }
 
@@ -286,7 +293,8 @@
             ration,
             nines,
             connect_timeout: tenths(limits.dial_timeout_ns).max(1),
-            max_dials: limits.send_cap,
+            // Dials are numbered in a byte; nobody waits for as many.
+            max_dials: limits.send_cap.min(u8::MAX.into()),
             max_retry_after: tenths(limits.max_retry_after_ns),
             retry_after: limits.retry_after,
             probing: limits.probing,
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -232,6 +232,33 @@
     assert_eq!(zone(r#","fees":{"cross_zone":0.02,"moves":0.02}"#), Some(1));
 }
 
+/// Dials are numbered in a byte: the 256th would have been taken for the first.
+#[test]
+fn a_session_with_hundreds_of_dials_ends_before_their_numbers_do() {
+    let text = SETTINGS.replace(r#""send_cap": 3"#, r#""send_cap": 1000"#);
+    let mut core = Core::new(&Facts::read(text.as_bytes()).unwrap(), 7, 0);
+    let entry = |id| Entry { id, state: State::Ready, weight: 1.0, ..Entry::default() };
+    core.heard_list(0, Scope::Cached, vec![entry(1), entry(2)]);
+    let ask = Session { client_key: 5, patience: 1_000_000, ..Session::default() };
+    let (mut now, mut dials, mut action) = (0, Vec::new(), core.open(0, 9, ask));
+    loop {
+        now += 1;
+        let waits = |a: Action| matches!(a, Action::Dial { .. } | Action::Refuse { .. }).then_some(a);
+        match action.take().or_else(|| core.chores(now).into_iter().find_map(waits)) {
+            Some(Action::Dial { dial, .. }) => {
+                dials.push(dial);
+                action = core.settled(now, 9, dial, How::Full, false);
+            }
+            Some(_) => break,
+            None => [1, 2].into_iter().for_each(|id| core.probed(now, id, How::Accepted, 1, &[])),
+        }
+    }
+    assert!(
+        dials.iter().enumerate().all(|(n, dial)| n == usize::from(*dial)) && !dials.is_empty(),
+        "{dials:?}"
+    );
+}
+
 #[test]
 fn settings_that_cannot_be_are_told_with_their_place() {
     let wrong = |text: &str| Facts::read(text.as_bytes()).unwrap_err().to_string();
@@ -242,6 +269,7 @@
         (r#"{"fees":{"moves":"dear"}}"#, "expected f64"),
         (r#"{"grades":[{},{"deadline_ns":-1}]}"#, "grades[1].deadline_ns: -1 is under 0"),
         (r#"{"grades":[{"gain":-1}]}"#, "grades[0].gain: -1 is no utility"),
+        (r#"{"grades":[{"name":"a"},{"name":"ab"},{"name":"a"}]}"#, "grades[2].name: \"a\" stands twice"),
         (r#"{"safety":{"budget_free":3,"extra_per_request":0.05}}"#, "safety.counted_over_ns: missing"),
         (r#"{"safety":{"counted_over_ns":5000000000}}"#, "safety.budget_free: missing"),
         (
