--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -213,3 +213,42 @@
     assert_eq!(client.hear(), "MOVE\r\n");
     flood.join().unwrap();
 }
+
+/// Crowds that probe without end, say a byte at a time, or say nothing, on a list of 1,024 servers: a process that has
+/// just started is ready in time, others are served at once meanwhile, and all descriptors come back.
+#[test]
+fn a_process_that_starts_in_a_flood_serves_all_the_same() {
+    let ((listener, at), (agent, discovery)) = (server(), server());
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = door.local_addr().unwrap();
+    let mut crowd: Vec<_> = (0..60).map(|_| Peer::connect(to, &"PING\r\n".repeat(2000))).collect();
+    crowd.extend((0..60).map(|_| Peer::connect(to, "OPEN 1 2 c=cha")));
+    let begun = Instant::now();
+    let proxy = serve_at(door, &config(&[], discovery, "proxy", 1024));
+    let mut watch = Peer::accept(&agent);
+    asked(&mut watch);
+    let all: Vec<_> = (0..1024).map(|n| endpoint(&format!("s-{n:08x}"), at, "up")).collect();
+    told(&mut watch, &list(41, true, &all));
+    becomes(|| proxy.figures.is_ready());
+    assert!(begun.elapsed() < Duration::from_secs(10), "ready after {:?}", begun.elapsed());
+    let dripping = thread::spawn(move || {
+        // A byte each now and then, up to the end of its time: none of them is a whole line.
+        while crowd[60..].iter_mut().filter_map(|c| c.0.get_mut().write_all(b"x").ok()).count() > 0 {
+            thread::sleep(Duration::from_millis(50));
+        }
+        crowd
+    });
+    for _ in 0..20 {
+        let begun = Instant::now();
+        let (mut client, mut server) = standing(proxy.address, &listener);
+        client.say("one\r\n");
+        assert_eq!(server.hear(), "one\r\n");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?} for a session", begun.elapsed());
+    }
+    for mut one in dripping.join().unwrap().drain(60..) {
+        assert_eq!(one.hear(), "ERR\r\n");
+    }
+    // With nearly all descriptors asked for once more, none is missing.
+    let again: Vec<_> = (0..400).map(|_| standing(proxy.address, &listener)).collect();
+    drop(again);
+}
