--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -24,8 +24,8 @@
 /// The first near server among so many of a ranking goes first; not among all, as a zone may have too few.
 const NEAR: usize = 2 * WALK;
 /// A server is probed after so many connect time-outs of silence, over the root of what it holds; where it
-/// then tells its load, after so many over what it holds, in sessions or mean loads, silent or not: sooner at first,
-/// as what it told before it held any of ours says nothing of the crowd that came with them.
+/// then tells its load, after so many over what it holds, in sessions or mean loads, silent or not: sooner at
+/// first, as what it told before it held any of ours says nothing of the crowd that came with them.
 const QUIET: u64 = 64;
 /// And a server that missed once, after so many; twice as many for each further miss, up to so many times.
 const DOUBTED: u64 = 2;
@@ -232,7 +232,8 @@
     /// How many of our sessions are of each bucket, and how many ordered pairs of them share one.
     mates: Vec<u32>,
     pairs: u64,
-    /// The same over those that came since the start, the latest most: pairs of theirs in all, and in one bucket.
+    /// The same over those that came since the start, the latest most: pairs of theirs in all, and in one
+    /// bucket.
     met: f64,
     shared: f64,
     /// The mean load that was told, and by how many notes.
@@ -241,7 +242,8 @@
     /// Sessions that servers told they hold, and for how much weight at full load, over the latest answers.
     told: f64,
     full: f64,
-    /// When a session last came, or this process started: what was due earlier is its forerunner's, and spent.
+    /// When a session last came, or this process started: what was due earlier is its forerunner's, and
+    /// spent.
     came: Time,
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
@@ -490,9 +492,9 @@
 
     /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
     pub fn chores(&mut self, now: Time) -> Vec<Chore> {
-        // A connection that came up after the grace was sent new work all the same, where connecting takes longer
-        // than the grace: what is not sent yet goes elsewhere, mid-flow sessions keep half the grace. It may hurt
-        // where all servers drain, as the dial counts among those that a session has.
+        // A connection that came up after the grace was sent new work all the same, where connecting takes
+        // longer than the grace: what is not sent yet goes elsewhere, mid-flow sessions keep half the grace.
+        // It may hurt where all servers drain, as the dial counts among those that a session has.
         let relisted = std::mem::take(&mut self.relisted);
         for (ix, x) in self.sessions.iter().filter(|(_, x)| relisted && x.phase == Phase::Dials) {
             if self.servers[x.server].barred(self.set.only_drains) {
@@ -654,7 +656,8 @@
     }
 
     /// What share of all sessions, at all proxies together, are of a bucket. One in hundreds, with a few of
-    /// them, knows the size of groups by how many of the pairs that met share one. Also the mean of that share.
+    /// them, knows the size of groups by how many of the pairs that met share one. Also the mean of that
+    /// share.
     fn share(&self, bucket: u64, shared: f64, met: f64, supposed: (f64, f64)) -> (f64, f64) {
         let others = (self.sessions.len() as f64 - 1.0).max(1.0);
         let mean = (2.0 * supposed.0 + shared) / (met + supposed.1);
@@ -728,9 +731,9 @@
         self.remove(ix);
         let harmless = match (kind, sess.may_have_run) {
             (_, None) | (Kind::Repeatable, _) => true,
-            // Who comes again after the longest wait that he may be told has to find his reference still known: a
-            // refusal at the end of a short window led to a second effect. It may hurt where windows are shorter than
-            // such waits, as all of these are torn down then.
+            // Who comes again after the longest wait that he may be told has to find his reference still
+            // known: a refusal at the end of a short window led to a second effect. It may hurt where windows
+            // are shorter than such waits, as all of these are torn down then.
             (Kind::Referenced { group: Group::All, window }, Some((_, sent))) => {
                 now + self.set.max_retry_after < sent + window
             }
@@ -851,8 +854,8 @@
         crowded.into_iter().min_by(|a, b| share(a).total_cmp(&share(b))).or(doubtful.filter(|_| full == 0))
     }
 
-    /// Up to when a dial's first byte may go to a server: while the grace of its drain lasts, and while a session that
-    /// may have run is still known there. Connecting takes time, in which either may end.
+    /// Up to when a dial's first byte may go to a server: while the grace of its drain lasts, and while a
+    /// session that may have run is still known there. Connecting takes time, in which either may end.
     fn permit(&self, sess: &Sess, ix: ServerIx) -> Time {
         let s = &self.servers[ix];
         let told = s.told.filter(|_| s.barred(self.set.only_drains));
@@ -895,16 +898,17 @@
         let share = start + (1.0 - start) * age as f64 / cold as f64;
         let told = self.told / self.full / f64::from(self.set.proxies);
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
-        // In the span in which a fall is counted, all proxies send on average no more than the settings allow then
-        // and its root, up to three; of the room for chance, three times the root and three, the rest is left for
-        // bursts, which grow as what is allowed does and not as its root.
+        // In the span in which a fall is counted, all proxies send on average no more than the settings allow
+        // then and its root, up to three; of the room for chance, three times the root and three, the rest is
+        // left for bursts, which grow as what is allowed does and not as its root.
         let (all, span) = (f64::from(self.set.proxies.max(1)), self.set.overload_for.max(1) as f64);
         let falls = self.set.fall_multiple * fill * all / cold as f64 * span;
         let rate = (falls + falls.sqrt().min(3.0)) / span / all;
-        // A group comes all at once and to one server, a session or two from each of hundreds of proxies: moved,
-        // broken off, or new to proxies whose forerunners were killed. A proxy takes it for no smaller than groups
-        // are on the mean, by all that it has seen since its start: one that holds three sessions knows nothing by
-        // those. It may hurt where sessions share no group: those of young processes wait longer.
+        // A group comes all at once and to one server, a session or two from each of hundreds of proxies:
+        // moved, broken off, or new to proxies whose forerunners were killed. A proxy takes it for no smaller
+        // than groups are on the mean, by all that it has seen since its start: one that holds three sessions
+        // knows nothing by those. It may hurt where sessions share no group: those of young processes wait
+        // longer.
         let (own, mean) = self.share(sess.bucket, self.shared, self.met, UNSEEN);
         let group = if sess.ask.group_key == 0 { 0.0 } else { own.max(mean) };
         // Where those before it are full each session walks on to it: it counts by how many they were, so
