--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -188,15 +188,15 @@
     }
 }
 
-fn how(code: u8) -> How {
+fn how(code: u8) -> Outcome {
     match code {
-        0 => How::Accepted,
-        254 => How::Full,
-        253 => How::Late,
-        252 => How::Unmade,
-        251 => How::Broken,
-        250 => How::CalledOff,
-        249 => How::Unsent,
-        _ => How::Error,
+        0 => Outcome::Accepted,
+        254 => Outcome::Full,
+        253 => Outcome::Late,
+        252 => Outcome::Unmade,
+        251 => Outcome::Broken,
+        250 => Outcome::CalledOff,
+        249 => Outcome::Unsent,
+        _ => Outcome::Error,
     }
 }
--- a/crates/larklink-core/src/core.rs
+++ b/crates/larklink-core/src/core.rs
@@ -114,7 +114,7 @@
     }
 
     /// A dial or a connection ended; `over` if its session is over with it. Else says what comes next.
-    pub fn settled(&mut self, now: Time, session: u32, dial: u8, how: How, over: bool) -> Option<Action> {
+    pub fn settled(&mut self, now: Time, session: u32, dial: u8, how: Outcome, over: bool) -> Option<Action> {
         let handle = self.current(session, dial)?;
         match self.balancer.settled(now, handle, how, over) {
             Some(verdict) => self.act(session, verdict),
@@ -140,7 +140,7 @@
     }
 
     /// A probe's answer, with the values of its load report, if it had one.
-    pub fn probed(&mut self, now: Time, server: u32, how: How, took: Time, report: &[f64]) {
+    pub fn probed(&mut self, now: Time, server: u32, how: Outcome, took: Time, report: &[f64]) {
         if let Some(&server) = self.servers.get(&server) {
             let value = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().unwrap_or(0.0);
             self.balancer.probed(now, server, how, took, value(self.load_at), value(self.holds_at));
--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -1,5 +1,5 @@
 //! The settings object of a proxy, from JSON to the module's plain values and what its protocols need.
-use larklink::types::{Group, Kind, Listener, Nines, Ration, Settings, Time};
+use larklink::types::{Group, Kind, Listener, Nines, RetryBudget, Settings, Time};
 use serde::Deserialize;
 
 /// Nanoseconds to whole tenths of a millisecond, rounded down.
@@ -170,11 +170,11 @@
 }
 
 impl Safety {
-    /// The ration of further dials, where all of it is told.
+    /// The retry budget of further dials, where all of it is told.
     ///
     /// # Errors
-    /// A part of it is told without the rest, or is no ration.
-    fn ration(&self) -> Result<Option<Ration>, String> {
+    /// A part of it is told without the rest, or is no retry budget.
+    fn retry_budget(&self) -> Result<Option<RetryBudget>, String> {
         let lacks = |name| {
             Err(format!("safety.{name}: missing, though other parts of the budget of dials are there"))
         };
@@ -192,7 +192,7 @@
         if tenths(over) == 0 {
             return Err(format!("safety.counted_over_ns: {over} is no period; it must be 100000 or more"));
         }
-        Ok(Some(Ration { free, share, over: tenths(over) }))
+        Ok(Some(RetryBudget { free, share, over: tenths(over) }))
     }
 }
 
@@ -253,7 +253,7 @@
         if let Some(wrong) = info.wrong() {
             return Err(wrong);
         }
-        let (ration, nines) = (info.safety.ration()?, info.result_mix.nines()?);
+        let (retry_budget, nines) = (info.safety.retry_budget()?, info.result_mix.nines()?);
         let listeners = info.grades.iter().map(|g| Listener {
             kind: match (g.idempotency.as_str(), g.group.as_str()) {
                 ("idempotent", _) => Kind::Repeatable,
@@ -290,7 +290,7 @@
             cold: tenths(safety.cold_ns),
             fall_multiple: safety.fall_multiple,
             overload_for: tenths(safety.overload_for_ns),
-            ration,
+            retry_budget,
             nines,
             connect_timeout: tenths(limits.dial_timeout_ns).max(1),
             // Dials are numbered in a byte; nobody waits for as many.
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -24,16 +24,16 @@
     Open(usize, u64),
     Adopt(u32),
     Stood(usize, u8),
-    Settled(usize, u8, How, bool),
+    Settled(usize, u8, Outcome, bool),
     Left(usize),
     Noted(usize, u8, Note),
-    Probed(u32, How, Vec<f64>),
+    Probed(u32, Outcome, Vec<f64>),
     List(u32, State),
     Wait(Time),
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    use How::*;
+    use Outcome::*;
     let how = || prop::sample::select(vec![Accepted, Error, Full, Late, Unmade, Broken, CalledOff, Unsent]);
     let notes = vec![Note::Load(900.0), Note::Load(9000.0), Note::Delay(400), Note::Unanswered];
     let state = prop::sample::select(vec![State::Ready, State::Ready, State::Draining, State::Gone]);
@@ -217,9 +217,9 @@
     let set = |text: &str| Facts::read(text.as_bytes()).unwrap().settings;
     let all = set(r#"{"safety":{"budget_free":3,"extra_per_request":0.05,"counted_over_ns":5000000000},
             "result_mix":{"nines_part":0.3,"top_nines":3}}"#);
-    assert_eq!(all.ration, Some(Ration { free: 3.0, share: 0.05, over: 50_000 }));
+    assert_eq!(all.retry_budget, Some(RetryBudget { free: 3.0, share: 0.05, over: 50_000 }));
     assert_eq!(all.nines, Some(Nines { part: 0.3, top: 3.0 }));
-    assert_eq!((set("{}").ration, set("{}").nines), (None, None));
+    assert_eq!((set("{}").retry_budget, set("{}").nines), (None, None));
 }
 
 #[test]
@@ -247,10 +247,10 @@
         match action.take().or_else(|| core.chores(now).into_iter().find_map(waits)) {
             Some(Action::Dial { dial, .. }) => {
                 dials.push(dial);
-                action = core.settled(now, 9, dial, How::Full, false);
+                action = core.settled(now, 9, dial, Outcome::Full, false);
             }
             Some(_) => break,
-            None => [1, 2].into_iter().for_each(|id| core.probed(now, id, How::Accepted, 1, &[])),
+            None => [1, 2].into_iter().for_each(|id| core.probed(now, id, Outcome::Accepted, 1, &[])),
         }
     }
     assert!(
--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -22,7 +22,7 @@
 use crate::figures::{Answer, Figures, InProgress};
 use crate::handover::wire::Standing;
 use crate::handover::{Given, Heir};
-use crate::lines::{Head, Inbox, Word, head, with_wait, word};
+use crate::lines::{Head, Inbox, Reply, head, with_wait, word};
 use crate::list::server_id;
 use crate::log::Reason;
 use crate::room::{Place, Room};
@@ -103,7 +103,7 @@
 
     /// Follows what becomes of it; resolves when it ends and nothing was sent, so that the session goes elsewhere at
     /// once and not when the connection comes up.
-    async fn over(&self, orders: &Receiver<Order>) -> How {
+    async fn over(&self, orders: &Receiver<Order>) -> Outcome {
         loop {
             let word = async {
                 match orders.recv().await {
@@ -122,7 +122,7 @@
                 Some(Order::SendBy { dial, by }) if dial == self.dial => self.by.set(by.min(self.by.get())),
                 Some(_) => {}
                 None if self.sent.get() => return future::pending().await,
-                None => return How::Unsent,
+                None => return Outcome::Unsent,
             }
         }
     }
@@ -292,7 +292,7 @@
                     let work = async {
                         Ok(match address {
                             Some(to) => dial(to, &mut slices, until, timeout, may_send, &self.figures).await,
-                            None => Err(How::Unmade),
+                            None => Err(Outcome::Unmade),
                         })
                     };
                     let over = async { Ok(Err(permit.over(&orders).await)) };
@@ -302,7 +302,7 @@
                     };
                     match over.or(stirs(stream, inbox, head.mid_flow)).or(work).or(last).await {
                         Err(reason) => break reason,
-                        Ok(Err(How::Unsent)) if !waits_still(stream.get_ref(), head.mid_flow) => {
+                        Ok(Err(Outcome::Unsent)) if !waits_still(stream.get_ref(), head.mid_flow) => {
                             let Err(reason) = stirs::<Infallible>(stream, inbox, head.mid_flow).await;
                             break reason;
                         }
@@ -522,7 +522,7 @@
 }
 
 /// Why an accepted session ended, and how for its server; nothing if that was the client's doing or ours.
-type End = (Reason, Option<How>);
+type End = (Reason, Option<Outcome>);
 
 struct Pipe<'a> {
     front: &'a Front,
@@ -600,7 +600,7 @@
                 self.passed.set(0);
             }
             if inbox.is_full() {
-                return (Reason::BadLine, Some(How::Error));
+                return (Reason::BadLine, Some(Outcome::Error));
             }
             // A server that has said its last may hold its connection open: its client need not wait for
             // that.
@@ -615,12 +615,12 @@
                 return (Reason::ClientReset, None);
             }
             let reason = match (ended, last) {
-                (_, Some(How::Accepted)) => Reason::ServerEnded,
+                (_, Some(Outcome::Accepted)) => Reason::ServerEnded,
                 (_, Some(_)) => Reason::ServerMoved,
                 (Ok(_), None) => Reason::ServerCut,
                 (Err(_), None) => Reason::ServerReset,
             };
-            return (reason, last.or(Some(How::Broken)));
+            return (reason, last.or(Some(Outcome::Broken)));
         }
     }
 
@@ -652,13 +652,13 @@
     }
 
     /// What a line says of the session; how it ends, if it is a server's last.
-    async fn read_line(&self, line: &[u8], now: Instant) -> Option<How> {
+    async fn read_line(&self, line: &[u8], now: Instant) -> Option<Outcome> {
         let (session, dial, server) = (self.session, self.dial, self.server);
         match word(line).0 {
-            Word::Bye => return Some(How::Accepted),
-            Word::Move => return Some(How::CalledOff),
-            Word::Up => {}
-            Word::Load(load) => {
+            Reply::Bye => return Some(Outcome::Accepted),
+            Reply::Move => return Some(Outcome::CalledOff),
+            Reply::Up => {}
+            Reply::Load(load) => {
                 self.load.set(Some(load));
                 self.front.queue.send(Event::Noted { session, dial, note: Note::Load(load) }).await
             }
@@ -726,7 +726,7 @@
                 Timer::at(from + SILENCE).await;
             } else {
                 let reason = self.send_away(Reason::Silent).await;
-                return (reason, (reason == Reason::Silent).then_some(How::Broken));
+                return (reason, (reason == Reason::Silent).then_some(Outcome::Broken));
             }
         }
         // Nothing is out: it is asked again with the next line.
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -180,7 +180,7 @@
                         let probes = Rc::clone(&self.probes);
                         self.executor.spawn(async move { probes.ask(server, address).await }).detach();
                     }
-                    None => self.core.probed(now, server, How::Unmade, 0, &[]),
+                    None => self.core.probed(now, server, Outcome::Unmade, 0, &[]),
                 }
                 return;
             }
--- a/crates/larklink-proxy/src/events.rs
+++ b/crates/larklink-proxy/src/events.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
-use larklink::types::{How, Note, Scope, Session, Time};
+use larklink::types::{Note, Outcome, Scope, Session, Time};
 
 use crate::list::Endpoint;
 
@@ -38,7 +38,7 @@
     Settled {
         session: u32,
         dial: u8,
-        how: How,
+        how: Outcome,
         over: bool,
     },
     Left {
@@ -58,7 +58,7 @@
     },
     Probed {
         server: u32,
-        how: How,
+        how: Outcome,
         took: Time,
         report: Vec<f64>,
     },
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -26,7 +26,7 @@
 use crate::list::Endpoint;
 use crate::room::Room;
 use crate::servers::within;
-use wire::{Ear, Mouth, OWED, Standing, VERSION, Word, bad, talk};
+use wire::{Ear, Mouth, OWED, Reply, Standing, VERSION, bad, talk};
 
 /// How often an old process looks at what it still holds.
 const LOOK: Duration = Duration::from_millis(50);
@@ -53,7 +53,7 @@
     let Ok(stream) = UnixStream::connect(at) else { return Ok(None) };
     let (mut ear, mouth) = talk(Async::new(stream)?);
     match within(OWED, ear.hear()).await? {
-        Word::Offer { list, .. } => Ok(Some((ear.beside()?.into(), Old { ear, mouth, list }))),
+        Reply::Offer { list, .. } => Ok(Some((ear.beside()?.into(), Old { ear, mouth, list }))),
         other => Err(bad(format!("no offer but {other:?}"))),
     }
 }
@@ -73,7 +73,7 @@
     /// Gives a session away: whether it has another owner now.
     pub async fn give(&self, session: Standing, client: &TcpStream, server: &TcpStream) -> bool {
         let Some(mouth) = self.0.borrow().clone() else { return false };
-        mouth.say(&Word::Session(session), &[client.as_fd(), server.as_fd()]).await.is_ok()
+        mouth.say(&Reply::Session(session), &[client.as_fd(), server.as_fd()]).await.is_ok()
     }
 }
 
@@ -127,12 +127,12 @@
 
     /// Whether it was given what it asks for.
     async fn ask(&self, old: &mut Old) -> Result<bool> {
-        old.mouth.say(&Word::Take, &[]).await?;
+        old.mouth.say(&Reply::Take, &[]).await?;
         let answer = async {
             loop {
                 match old.ear.hear().await? {
-                    Word::Yours { held } => break Ok(Some(held)),
-                    Word::Taken => break Ok(None),
+                    Reply::Yours { held } => break Ok(Some(held)),
+                    Reply::Taken => break Ok(None),
                     _ => {}
                 }
             }
@@ -147,8 +147,8 @@
         let mut sessions = 0;
         let ended = loop {
             match old.ear.hear().await {
-                Ok(Word::Held { held }) => self.room.leave_to(held),
-                Ok(Word::Session(session)) => match (old.ear.beside(), old.ear.beside()) {
+                Ok(Reply::Held { held }) => self.room.leave_to(held),
+                Ok(Reply::Session(session)) => match (old.ear.beside(), old.ear.beside()) {
                     (Ok(client), Ok(server)) => {
                         sessions += 1;
                         let _ = self.given.send((session, client.into(), server.into())).await;
@@ -225,7 +225,7 @@
 
     async fn converse(&self, ear: &mut Ear, mouth: &Rc<Mouth>) -> Result<()> {
         enum Step {
-            Heard(Word),
+            Heard(Reply),
             Look,
             Stop,
         }
@@ -235,7 +235,7 @@
         {
             let listener = self.listener.borrow().as_ref().map(TcpListener::try_clone).transpose()?;
             let listener = listener.ok_or_else(|| bad("no more connections are taken"))?;
-            mouth.say(&Word::Offer { version: VERSION, list }, &[listener.as_fd()]).await?;
+            mouth.say(&Reply::Offer { version: VERSION, list }, &[listener.as_fd()]).await?;
         }
         let (mut last, mut mine, mut stops) = (0, false, false);
         loop {
@@ -253,22 +253,24 @@
             };
             let held = || self.reserved + self.room.held();
             match heard.or(stop).or(look).await? {
-                Step::Heard(Word::Take) if self.heir.is_there() => return mouth.say(&Word::Taken, &[]).await,
-                Step::Heard(Word::Take) => {
+                Step::Heard(Reply::Take) if self.heir.is_there() => {
+                    return mouth.say(&Reply::Taken, &[]).await;
+                }
+                Step::Heard(Reply::Take) => {
                     tracing::info!("gives the connections to a new process");
                     let _ = self.taking.send(false).await;
                     (mine, last) = (true, held());
                     self.heir.0.replace(Some(Rc::clone(mouth)));
-                    mouth.say(&Word::Yours { held: last }, &[]).await?;
+                    mouth.say(&Reply::Yours { held: last }, &[]).await?;
                 }
                 Step::Heard(other) => return Err(bad(format!("{other:?} was not asked for"))),
                 Step::Stop => {
                     stops = true;
-                    mouth.say(&Word::Stops, &[]).await?;
+                    mouth.say(&Reply::Stops, &[]).await?;
                 }
                 Step::Look if mine && held() != last => {
                     last = held();
-                    mouth.say(&Word::Held { held: last }, &[]).await?;
+                    mouth.say(&Reply::Held { held: last }, &[]).await?;
                 }
                 Step::Look => {}
             }
--- a/crates/larklink-proxy/src/handover/wire.rs
+++ b/crates/larklink-proxy/src/handover/wire.rs
@@ -31,7 +31,7 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Word {
+pub enum Reply {
     /// From the process that serves: the list of servers as it has it, and beside it the listening socket.
     Offer {
         version: u32,
@@ -77,9 +77,9 @@
 ///
 /// # Errors
 /// It is no word of these, as from another version.
-pub fn word(line: &[u8]) -> Result<Word> {
+pub fn word(line: &[u8]) -> Result<Reply> {
     match serde_json::from_slice(line) {
-        Ok(Word::Offer { version, .. }) if version != VERSION => {
+        Ok(Reply::Offer { version, .. }) if version != VERSION => {
             Err(bad(format!("an offer of version {version}")))
         }
         Ok(word) => Ok(word),
@@ -99,7 +99,7 @@
     ///
     /// # Errors
     /// The other process has ended, or says what is no word.
-    pub async fn hear(&mut self) -> Result<Word> {
+    pub async fn hear(&mut self) -> Result<Reply> {
         loop {
             if let Some(end) = self.bytes.iter().position(|&b| b == b'\n') {
                 let line: Vec<_> = self.bytes.drain(..=end).collect();
@@ -153,7 +153,7 @@
     ///
     /// # Errors
     /// The other process has ended or does not listen in time; it may have heard a part then.
-    pub async fn say(&self, word: &Word, beside: &[BorrowedFd<'_>]) -> Result<()> {
+    pub async fn say(&self, word: &Reply, beside: &[BorrowedFd<'_>]) -> Result<()> {
         let mut line = serde_json::to_vec(word)?;
         line.push(b'\n');
         let said = async {
--- a/crates/larklink-proxy/src/lines.rs
+++ b/crates/larklink-proxy/src/lines.rs
@@ -141,7 +141,7 @@
 
 /// A line from a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Word<'a> {
+pub enum Reply<'a> {
     Up,
     Bye,
     Move,
@@ -153,21 +153,21 @@
 }
 
 /// Tells a server's line, and what stands behind its first word.
-pub fn word(line: &[u8]) -> (Word<'_>, &str) {
+pub fn word(line: &[u8]) -> (Reply<'_>, &str) {
     let text = std::str::from_utf8(line).unwrap_or("").trim_end_matches("\r\n");
     let (first, rest) = text.split_once(' ').unwrap_or((text, ""));
     let word = match first {
-        "UP" => Word::Up,
-        "BYE" => Word::Bye,
-        "MOVE" => Word::Move,
-        "ERR" => Word::Err,
-        "BUSY" => Word::Busy,
-        "PONG" => Word::Pong,
+        "UP" => Reply::Up,
+        "BYE" => Reply::Bye,
+        "MOVE" => Reply::Move,
+        "ERR" => Reply::Err,
+        "BUSY" => Reply::Busy,
+        "PONG" => Reply::Pong,
         "LOAD" => match rest.parse() {
-            Ok(load) if f64::is_finite(load) && load >= 0.0 => Word::Load(load),
-            _ => Word::Other(text),
+            Ok(load) if f64::is_finite(load) && load >= 0.0 => Reply::Load(load),
+            _ => Reply::Other(text),
         },
-        _ => Word::Other(text),
+        _ => Reply::Other(text),
     };
     (word, rest)
 }
--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -5,11 +5,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use larklink::types::How;
+use larklink::types::Outcome;
 
 use crate::clock::tenths;
 use crate::events::{Event, Queue};
-use crate::lines::{Word, report, word};
+use crate::lines::{Reply, report, word};
 use crate::servers::{Link, connect, within, write_gathered};
 
 pub struct Probes {
@@ -31,10 +31,10 @@
         let kept = self.kept.borrow_mut().remove(&server);
         let mut answer = match kept {
             Some((at, link)) if at == address => self.exchange(link).await,
-            _ => Err(How::Broken),
+            _ => Err(Outcome::Broken),
         };
         // A kept connection may have gone idle, or its server may have started anew: that tells nothing yet.
-        if matches!(answer, Err(How::Broken)) {
+        if matches!(answer, Err(Outcome::Broken)) {
             answer = match connect(address, self.connect_timeout).await {
                 Ok(link) => self.exchange(link).await,
                 Err(how) => Err(how),
@@ -55,23 +55,23 @@
         self.kept.borrow_mut().remove(&server);
     }
 
-    async fn exchange(&self, mut link: Link) -> std::result::Result<(How, Vec<f64>, Link), How> {
+    async fn exchange(&self, mut link: Link) -> std::result::Result<(Outcome, Vec<f64>, Link), Outcome> {
         match within(self.connect_timeout, self.lines(&mut link)).await {
             Ok((how, report)) => Ok((how, report, link)),
-            Err(e) if e.kind() == ErrorKind::TimedOut => Err(How::Late),
-            Err(_) => Err(How::Broken),
+            Err(e) if e.kind() == ErrorKind::TimedOut => Err(Outcome::Late),
+            Err(_) => Err(Outcome::Broken),
         }
     }
 
-    async fn lines(&self, link: &mut Link) -> Result<(How, Vec<f64>)> {
+    async fn lines(&self, link: &mut Link) -> Result<(Outcome, Vec<f64>)> {
         let ask: &[u8] = if self.names.is_empty() { b"PING\r\n" } else { b"STATS\r\n" };
         write_gathered(&link.stream, &mut [IoSlice::new(ask)]).await?;
         let n = link.line().await?;
         let (word, rest) = word(&link.inbox.bytes()[..n]);
         let answer = match word {
-            Word::Pong => (How::Accepted, report(rest, &self.names)),
-            Word::Busy => (How::Full, Vec::new()),
-            _ => (How::Error, Vec::new()),
+            Reply::Pong => (Outcome::Accepted, report(rest, &self.names)),
+            Reply::Busy => (Outcome::Full, Vec::new()),
+            _ => (Outcome::Error, Vec::new()),
         };
         link.inbox.consume(n);
         Ok(answer)
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -6,10 +6,10 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use larklink::types::How;
+use larklink::types::Outcome;
 
 use crate::figures::Figures;
-use crate::lines::{Inbox, Word, word};
+use crate::lines::{Inbox, Reply, word};
 
 /// Errors that are a want of ours and say nothing of the server: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL and
 /// ENOBUFS.
@@ -88,11 +88,11 @@
 }
 
 /// Makes a connection; the error says how the dial ended.
-pub async fn connect(server: SocketAddr, limit: Duration) -> std::result::Result<Link, How> {
+pub async fn connect(server: SocketAddr, limit: Duration) -> std::result::Result<Link, Outcome> {
     match within(limit, Async::<TcpStream>::connect(server)).await {
         Ok(stream) => Ok(Link::new(stream)),
-        Err(e) if e.raw_os_error().is_some_and(|code| OURS.contains(&code)) => Err(How::Unsent),
-        Err(_) => Err(How::Unmade),
+        Err(e) if e.raw_os_error().is_some_and(|code| OURS.contains(&code)) => Err(Outcome::Unsent),
+        Err(_) => Err(Outcome::Unmade),
     }
 }
 
@@ -109,33 +109,33 @@
     connect_timeout: Duration,
     may_send: impl FnOnce() -> bool,
     figures: &Figures,
-) -> std::result::Result<Link, How> {
+) -> std::result::Result<Link, Outcome> {
     let left = until.saturating_duration_since(Instant::now());
     let mut link = connect(server, connect_timeout.min(left)).await?;
     if !may_send() {
-        return Err(How::Unsent);
+        return Err(Outcome::Unsent);
     }
     let left = until.saturating_duration_since(Instant::now());
     // Until its last byte is written, the server cannot have run it.
-    within(left, write_gathered(&link.stream, head)).await.map_err(|_| How::Unmade)?;
+    within(left, write_gathered(&link.stream, head)).await.map_err(|_| Outcome::Unmade)?;
     figures.tried();
     let left = until.saturating_duration_since(Instant::now());
     let line = match within(left, link.line()).await {
         Ok(n) => &link.inbox.bytes()[..n],
-        Err(e) if e.kind() == ErrorKind::TimedOut => return Err(How::Late),
-        Err(e) if e.kind() == ErrorKind::InvalidData => return Err(How::Error),
-        Err(_) => return Err(How::Broken),
+        Err(e) if e.kind() == ErrorKind::TimedOut => return Err(Outcome::Late),
+        Err(e) if e.kind() == ErrorKind::InvalidData => return Err(Outcome::Error),
+        Err(_) => return Err(Outcome::Broken),
     };
     match word(line).0 {
-        Word::Up => Ok(link),
-        Word::Busy => Err(How::Full),
-        Word::Move => Err(How::CalledOff),
-        Word::Bye => Err(How::Accepted),
+        Reply::Up => Ok(link),
+        Reply::Busy => Err(Outcome::Full),
+        Reply::Move => Err(Outcome::CalledOff),
+        Reply::Bye => Err(Outcome::Accepted),
         other => {
-            if let Word::Other(text) = other {
+            if let Reply::Other(text) = other {
                 tracing::warn!("server {server} answered {text:?}");
             }
-            Err(How::Error)
+            Err(Outcome::Error)
         }
     }
 }
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Instant;
 
-use larklink_proxy::handover::wire::{VERSION, Word, talk, word};
+use larklink_proxy::handover::wire::{Reply, VERSION, talk, word};
 use larklink_proxy::list::Endpoint;
 use larklink_proxy::room::Room;
 use rustix::process::{Pid, Signal, kill_process};
@@ -256,13 +256,13 @@
     (at, come)
 }
 
-/// Both processes of a proxy together keep its ration: the one that takes over has no free dial of its own while the
+/// Both processes of a proxy together keep its retry budget: the one that takes over has no free dial of its own while the
 /// old one's still count. Of two free ones in a minute the old one makes one at once.
 #[test]
 fn a_ration_of_further_dials_holds_for_both_processes_together() {
     let (server, come) = drops();
     let safety = r#"{"budget_free":2,"extra_per_request":0,"counted_over_ns":60000000000}"#;
-    let proxy = Proxy::with("ration", "proxy", server, agent(server), safety);
+    let proxy = Proxy::with("retry_budget", "proxy", server, agent(server), safety);
     let refused = || {
         let mut client = Peer::new(TcpStream::connect(proxy.listen).unwrap());
         client.say(&open("c=chat,t=acme,d=5000,g=3"));
@@ -392,7 +392,7 @@
     let (one, other) = UnixStream::pair().unwrap();
     let (_, mouth) = talk(async_io::Async::new(one).unwrap());
     let (mut ear, _) = talk(async_io::Async::new(other).unwrap());
-    let offer = Word::Offer { version: VERSION, list };
+    let offer = Reply::Offer { version: VERSION, list };
     let said = mouth.say(&offer, &[]);
     let (said, heard) = async_io::block_on(futures_lite::future::zip(said, ear.hear()));
     said.unwrap();
--- a/crates/larklink-proxy/tests/lines.rs
+++ b/crates/larklink-proxy/tests/lines.rs
@@ -4,7 +4,7 @@
 use larklink_proxy::config::Config;
 use larklink_proxy::delays::Delays;
 use larklink_proxy::discovery::{Answer, pause};
-use larklink_proxy::lines::{Inbox, LONGEST, Word, head, report, with_wait, word};
+use larklink_proxy::lines::{Inbox, LONGEST, Reply, head, report, with_wait, word};
 use larklink_proxy::list::{Endpoint, server_id};
 use proptest::prelude::*;
 use proptest::test_runner::{Config as Runs, RngSeed};
@@ -65,11 +65,11 @@
 
 #[test]
 fn words_and_reports_are_told_apart() {
-    assert_eq!(word(b"UP 0ac4\r\n"), (Word::Up, "0ac4"));
-    assert_eq!(word(b"LOAD 12.5\r\n").0, Word::Load(12.5));
-    assert_eq!(word(b"LOAD NaN\r\n").0, Word::Other("LOAD NaN"));
-    assert_eq!(word(b"BYE inflight=7,x0=0.61\r\n"), (Word::Bye, "inflight=7,x0=0.61"));
-    assert_eq!(word(b"UPPER\r\n").0, Word::Other("UPPER"));
+    assert_eq!(word(b"UP 0ac4\r\n"), (Reply::Up, "0ac4"));
+    assert_eq!(word(b"LOAD 12.5\r\n").0, Reply::Load(12.5));
+    assert_eq!(word(b"LOAD NaN\r\n").0, Reply::Other("LOAD NaN"));
+    assert_eq!(word(b"BYE inflight=7,x0=0.61\r\n"), (Reply::Bye, "inflight=7,x0=0.61"));
+    assert_eq!(word(b"UPPER\r\n").0, Reply::Other("UPPER"));
     let names = ["x0", "util"].map(String::from);
     assert_eq!(report("inflight=7,util=0.5,x0=0.61", &names), [0.61, 0.5]);
     assert!(report("inflight=7,x0=0.61", &names).is_empty(), "a report that lacks a value is none");
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -2,7 +2,7 @@
 //! clock, the same seed the same book. Each message takes one hop.
 use std::collections::BTreeMap;
 
-use larklink::types::{Entry, How, Note, Scope, Session, State, Time};
+use larklink::types::{Entry, Note, Outcome, Scope, Session, State, Time};
 use larklink_core::core::{Action, Core};
 use larklink_core::settings::Facts;
 
@@ -305,8 +305,8 @@
             Hop::Open(proxy, ask) => self.open(now, proxy, ask),
             Hop::ToServer(server, conn) => self.reach_server(now, server, conn),
             Hop::FromServer(server, conn, say) => self.server_says(now, server, conn, say),
-            Hop::Limit(conn) => self.settle(now, conn, How::Late),
-            Hop::Unmade(conn) => self.settle(now, conn, How::Unmade),
+            Hop::Limit(conn) => self.settle(now, conn, Outcome::Late),
+            Hop::Unmade(conn) => self.settle(now, conn, Outcome::Unmade),
             Hop::ClientLine(id, number) => {
                 let at = self.flows.get(&id).and_then(|f| f.conn);
                 if let Some((conn, (server, _))) = at.and_then(|c| self.peers.get(&c).map(|p| (c, *p))) {
@@ -434,8 +434,8 @@
             Peer::Probe { proxy, sent } => {
                 self.peers.remove(&conn);
                 let (how, values) = match say {
-                    Say::Pong(r) => (How::Accepted, vec![r.held as f64, r.used, r.asked]),
-                    _ => (How::Broken, Vec::new()),
+                    Say::Pong(r) => (Outcome::Accepted, vec![r.held as f64, r.used, r.asked]),
+                    _ => (Outcome::Broken, Vec::new()),
                 };
                 let core = &mut self.proxies[proxy].core;
                 return core.probed(ORIGIN + now, server as u32 + 1, how, now + HOP - sent, &values);
@@ -456,15 +456,15 @@
                 let number = u64::from_le_bytes(text.try_into().unwrap_or_default());
                 self.hops.add(now + HOP, Hop::ToClient(id, Told::Line(number)));
             }
-            Say::Busy => self.settle(now, conn, How::Full),
-            Say::Error => self.settle(now, conn, How::Error),
-            Say::Cut => self.settle(now, conn, How::Broken),
-            Say::Move => self.settle(now, conn, How::CalledOff),
+            Say::Busy => self.settle(now, conn, Outcome::Full),
+            Say::Error => self.settle(now, conn, Outcome::Error),
+            Say::Cut => self.settle(now, conn, Outcome::Broken),
+            Say::Move => self.settle(now, conn, Outcome::CalledOff),
         }
     }
 
     /// A dial, or an accepted session's connection, has ended so.
-    fn settle(&mut self, now: Time, conn: Conn, how: How) {
+    fn settle(&mut self, now: Time, conn: Conn, how: Outcome) {
         let Some(&(server, peer)) = self.peers.get(&conn) else { return };
         let Peer::Session { proxy, number, dial, id } = peer else {
             self.peers.remove(&conn);
@@ -474,16 +474,16 @@
             return;
         };
         let stood = self.flows.get(&id).is_some_and(|f| f.stands == Some(conn));
-        if how == How::Late && stood {
+        if how == Outcome::Late && stood {
             return;
         }
         self.peers.remove(&conn);
         let seen = match how {
-            How::Full => Some(DialEnd::TurnedAway),
-            How::Error => Some(DialEnd::Failed),
-            How::Broken => Some(DialEnd::Cut),
-            How::CalledOff => Some(DialEnd::SentAway),
-            How::Late => Some(DialEnd::GivenUp),
+            Outcome::Full => Some(DialEnd::TurnedAway),
+            Outcome::Error => Some(DialEnd::Failed),
+            Outcome::Broken => Some(DialEnd::Cut),
+            Outcome::CalledOff => Some(DialEnd::SentAway),
+            Outcome::Late => Some(DialEnd::GivenUp),
             _ => None,
         };
         if let Some(seen) = seen {
@@ -496,7 +496,7 @@
         if let Some(action) = action {
             self.act(now, proxy, action);
         } else if stood && self.proxies[proxy].flows.remove(&number).is_some() {
-            let told = if how == How::CalledOff { Told::Move } else { Told::Ended };
+            let told = if how == Outcome::CalledOff { Told::Move } else { Told::Ended };
             self.hops.add(now + HOP, Hop::ToClient(id, told));
         }
     }
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -151,14 +151,14 @@
     }
 
     /// What the end of a dial, a connection or a probe says of it.
-    fn ended(&mut self, now: Time, how: How, probe: bool) {
+    fn ended(&mut self, now: Time, how: Outcome, probe: bool) {
         match how {
-            How::Accepted if !probe => return self.served(now, now),
-            How::Accepted | How::Full => return self.heard(now),
-            How::Unmade | How::Broken => (self.misses, self.down) = (self.misses + 1, true),
-            How::Late if probe => self.misses += 1,
-            How::Late => self.hung = now,
-            How::Error if !probe => {}
+            Outcome::Accepted if !probe => return self.served(now, now),
+            Outcome::Accepted | Outcome::Full => return self.heard(now),
+            Outcome::Unmade | Outcome::Broken => (self.misses, self.down) = (self.misses + 1, true),
+            Outcome::Late if probe => self.misses += 1,
+            Outcome::Late => self.hung = now,
+            Outcome::Error if !probe => {}
             _ => return,
         }
         (self.good, self.bad) = (1.0 + (self.good - 1.0) / 2.0, (self.bad + 1.0).min(TRUSTED));
@@ -251,10 +251,10 @@
     failed_at: Option<ServerIx>,
     /// What moving on promises: falls with each session moved, comes back with time.
     hope: f64,
-    /// Within the window of the ration: when sessions came, and when further dials went out.
+    /// Within the window of the retry budget: when sessions came, and when further dials went out.
     taken: VecDeque<Time>,
     further: VecDeque<Time>,
-    /// Until then the free part of the ration may be spent by the process before this one.
+    /// Until then the free part of the retry budget may be spent by the process before this one.
     owed: Time,
     /// Sessions that wait for the answer to a probe.
     waiting: Vec<SessIx>,
@@ -346,17 +346,17 @@
     }
 
     /// Another process of this proxy has been taking its sessions until now, and may still dial for them:
-    /// what is free of the ration counts as spent until the last of those dials has left the window.
+    /// what is free of the retry budget counts as spent until the last of those dials has left the window.
     pub fn succeeds(&mut self, now: Time) {
-        let Some(ration) = self.set.ration else { return };
-        let last = if self.set.dial_timeout == Time::MAX { ration.over } else { self.set.dial_timeout };
-        self.owed = now + last + ration.over;
+        let Some(retry_budget) = self.set.retry_budget else { return };
+        let last = if self.set.dial_timeout == Time::MAX { retry_budget.over } else { self.set.dial_timeout };
+        self.owed = now + last + retry_budget.over;
     }
 
     /// Where to send this one.
     pub fn place(&mut self, now: Time, ask: Session) -> (SessIx, Verdict) {
         let ix = self.enter(now, ask);
-        self.taken.extend(self.set.ration.map(|_| now));
+        self.taken.extend(self.set.retry_budget.map(|_| now));
         self.spare(now);
         let gap = (now - std::mem::replace(&mut self.came, now)).min(self.set.overload_for);
         self.sessions[ix].turn = gap as f64 / self.rng.random::<f64>();
@@ -364,7 +364,7 @@
     }
 
     /// A dial or a connection ended. Where the session is not over, says what comes next.
-    pub fn settled(&mut self, now: Time, ix: SessIx, how: How, over: bool) -> Option<Verdict> {
+    pub fn settled(&mut self, now: Time, ix: SessIx, how: Outcome, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
         let (server, load, phase) = (sess.server, sess.load, std::mem::take(&mut sess.phase));
         let (sent, dials) = (sess.sent, sess.dials);
@@ -375,7 +375,8 @@
         // Errors on two servers in turn point at the session store behind all of them, which every further
         // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts,
         // but where nothing can be probed they are the first word. It may hurt while two servers hang.
-        let fails = how == How::Error || how == How::Late && (!self.set.probing || self.window.is_finite());
+        let fails =
+            how == Outcome::Error || how == Outcome::Late && (!self.set.probing || self.window.is_finite());
         if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
             if self.window.is_infinite() {
                 self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
@@ -383,8 +384,8 @@
             self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
         }
         self.servers[server].ended(now, how, false);
-        if how == How::Unsent && dials > 1 {
-            // It was none: the ration does not count it, but still those that others have sent since.
+        if how == Outcome::Unsent && dials > 1 {
+            // It was none: the retry budget does not count it, but still those that others have sent since.
             let own = self.further.iter().rposition(|t| *t == sent);
             own.and_then(|at| self.further.remove(at));
         }
@@ -441,7 +442,7 @@
         if matches!(note, Note::Delay(delay) if delay > self.set.dial_timeout) {
             // No client would be accepted there in time: as silent as one that answers no probe.
             s.misses = SILENT - 1;
-            return s.ended(now, How::Late, true);
+            return s.ended(now, Outcome::Late, true);
         }
         s.served(now, sess.sent);
         if let Note::Delay(delay) = note {
@@ -453,7 +454,7 @@
 
     /// The answer to a probe; `load` is what is asked of the server over what it can do, `holds` the sessions
     /// there, where it tells that.
-    pub fn probed(&mut self, now: Time, server: ServerIx, how: How, took: Time, load: f64, holds: f64) {
+    pub fn probed(&mut self, now: Time, server: ServerIx, how: Outcome, took: Time, load: f64, holds: f64) {
         let (target, tells, cold) = (self.set.message_target, self.set.tells_load, self.set.cold);
         if self.server(server).age(now) >= cold {
             let weight = self.weight(&self.servers[server]);
@@ -462,7 +463,7 @@
         }
         let s = self.server(server);
         s.asked = false;
-        if how == How::Accepted {
+        if how == Outcome::Accepted {
             // Where the load is told, a slow answer tells of the way there only, as a first one's connection.
             if load > FULL || !tells && took > target / 2 {
                 s.crowded = s.crowded.max(now + NOTE * 3 / 2);
@@ -721,7 +722,7 @@
             let limit = if self.servers[server].misses == 0 { left } else { target.min(left) };
             self.out += 1.0;
             self.servers[server].take(now, sess.load);
-            self.further.extend(self.set.ration.filter(|_| sess.dials > 0).map(|_| now));
+            self.further.extend(self.set.retry_budget.filter(|_| sess.dials > 0).map(|_| now));
             let x = &mut self.sessions[ix];
             (x.phase, x.server, x.sent, x.dials) = (Phase::Dials, server, now, x.dials + 1);
             let by = self.permit(&sess, server).min(now + limit);
@@ -746,10 +747,13 @@
         Verdict::Refuse { retry_after: if self.set.retry_after { wait } else { 0 } }
     }
 
-    /// How many further dials the ration allows in the window that ends now, and how many went out in it.
-    /// Times are inexact: a dial that may still lie in it counts, a session that may have left it does not.
+    /// How many further dials the retry budget allows in the window that ends now, and how many went out in
+    /// it. Times are inexact: a dial that may still lie in it counts, a session that may have left it does
+    /// not.
     fn spare(&mut self, now: Time) -> (f64, usize) {
-        let Some(Ration { free, share, over }) = self.set.ration else { return (f64::INFINITY, 0) };
+        let Some(RetryBudget { free, share, over }) = self.set.retry_budget else {
+            return (f64::INFINITY, 0);
+        };
         while self.taken.front().is_some_and(|t| t + over <= now + 1) {
             self.taken.pop_front();
         }
@@ -760,12 +764,13 @@
         (free + share * self.taken.len() as f64, self.further.len())
     }
 
-    /// Whether the ration has a further dial to that server for this session. Its dials are spread over the
-    /// window, so that a storm leaves some for its end: who is worth most, has most time left and is likely
-    /// to be served need not wait as long since the one before. It may hurt where failures come in bursts.
+    /// Whether the retry budget has a further dial to that server for this session. Its dials are spread over
+    /// the window, so that a storm leaves some for its end: who is worth most, has most time left and is
+    /// likely to be served need not wait as long since the one before. It may hurt where failures come in
+    /// bursts.
     fn spared(&mut self, now: Time, sess: &Sess, ix: ServerIx) -> bool {
         let (allowed, sent) = self.spare(now);
-        let Some(Ration { over, .. }) = self.set.ration else { return true };
+        let Some(RetryBudget { over, .. }) = self.set.retry_budget else { return true };
         let most = self.rows.iter().map(|r| r.listener.utility).fold(f64::MIN_POSITIVE, f64::max);
         let left = sess.until.saturating_sub(now) as f64 / sess.ask.patience.max(1) as f64;
         let s = &self.servers[ix];
--- a/crates/larklink/src/types.rs
+++ b/crates/larklink/src/types.rs
@@ -37,10 +37,10 @@
     pub utility: f64,
 }
 
-/// A ration of further dials: in any window of a length, a proxy's dials beyond each session's first number at
+/// A retry budget of further dials: in any window of a length, a proxy's dials beyond each session's first number at
 /// most `free` plus `share` x the sessions that it took in that window.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ration {
+pub struct RetryBudget {
     pub free: f64,
     pub share: f64,
     pub over: Time,
@@ -74,7 +74,7 @@
     pub fall_multiple: f64,
     pub overload_for: Time,
     /// None where further dials are not rationed.
-    pub ration: Option<Ration>,
+    pub retry_budget: Option<RetryBudget>,
     pub nines: Option<Nines>,
     pub connect_timeout: Time,
     pub max_dials: u32,
@@ -154,7 +154,7 @@
 
 /// How a dial, a connection or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum How {
+pub enum Outcome {
     Accepted,
     Error,
     Full,
@@ -165,10 +165,10 @@
     Unsent,
 }
 
-impl How {
+impl Outcome {
     /// Proves that the dial never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, How::Full | How::Unmade | How::Unsent)
+        matches!(self, Outcome::Full | Outcome::Unmade | Outcome::Unsent)
     }
 }
 
--- a/crates/larklink/tests/cold_herd.rs
+++ b/crates/larklink/tests/cold_herd.rs
@@ -83,7 +83,7 @@
             let (started, hears) = times[n];
             let mut b = Balancer::new(known.clone(), seed * 1000 + n as u64, started);
             b.heard_list(started, Scope::Cached, if hears == 0 { &entries } else { &warm });
-            b.probed(started.max(NOW - SECOND), 1, How::Accepted, 10, 0.5, BEARS / 2.0);
+            b.probed(started.max(NOW - SECOND), 1, Outcome::Accepted, 10, 0.5, BEARS / 2.0);
             b
         })
         .collect();
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -78,7 +78,7 @@
 /// What becomes of a session that may wait, once so many servers have answered their probes well.
 fn once_probed(b: &mut Balancer, now: Time, servers: usize, mut verdict: Verdict) -> Verdict {
     while verdict == Verdict::Wait {
-        (0..servers).for_each(|s| b.probed(now, s, How::Accepted, 10, 0.0, 0.0));
+        (0..servers).for_each(|s| b.probed(now, s, Outcome::Accepted, 10, 0.0, 0.0));
         let tell = |c| if let Chore::Tell(_, verdict) = c { Some(verdict) } else { None };
         verdict = b.chores(now).into_iter().filter_map(tell).next_back().unwrap();
     }
@@ -89,17 +89,17 @@
 enum Step {
     Place { key: u64, listener: usize, mid_flow: bool },
     Stand(usize),
-    Settle(usize, How),
+    Settle(usize, Outcome),
     Leave(usize),
     List { server: ServerIx, state: State, restarts: bool },
     Delay(usize, Time),
     Unanswered(usize),
-    Probed(ServerIx, How, f64),
+    Probed(ServerIx, Outcome, f64),
     Wait(Time),
 }
 
-fn how() -> impl Strategy<Value = How> {
-    use How::*;
+fn how() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
     prop::sample::select(vec![Accepted, Error, Full, Late, Unmade, Broken, CalledOff, Unsent])
 }
 
@@ -204,13 +204,13 @@
         (!fit.is_empty()).then(|| fit[n % fit.len()])
     }
 
-    fn settle(&mut self, ix: SessIx, how: How) {
+    fn settle(&mut self, ix: SessIx, how: Outcome) {
         let seen = self.open.get_mut(&ix).expect("picked from the open");
         let (server, sent) = seen.out.take().expect("picked with a dial");
         if !how.never_ran() {
             seen.ran.get_or_insert((server, sent));
         }
-        let over = how == How::Accepted || seen.stands;
+        let over = how == Outcome::Accepted || seen.stands;
         seen.stands = false;
         let verdict = self.balancer.settled(self.now, ix, how, over);
         match verdict {
@@ -276,7 +276,7 @@
                     self.now = end.min(self.balancer.due()).min(next.unwrap_or(end)).max(self.now + 1);
                     while let Some(ix) = self.pick(0, |s| s.out.is_some() && !s.stands && s.until <= self.now)
                     {
-                        self.settle(ix, How::Late);
+                        self.settle(ix, Outcome::Late);
                     }
                     self.chores();
                 }
@@ -345,19 +345,20 @@
     }
 }
 
-const RATION: Ration = Ration { free: 3.0, share: 0.05, over: 5 * SECOND };
+const RATION: RetryBudget = RetryBudget { free: 3.0, share: 0.05, over: 5 * SECOND };
 
 /// A proxy whose further dials are rationed; every dial but those that `fails` spares finds its server dead.
 fn rationed(fails: impl Fn(usize) -> bool, calls: &[(Time, usize)]) -> (Vec<Time>, usize) {
     let (mut b, mut further, mut now) =
-        (fleet(Settings { ration: Some(RATION), ..settings() }, 40), vec![], 0);
+        (fleet(Settings { retry_budget: Some(RATION), ..settings() }, 40), vec![], 0);
     let mut answered = 0;
     for (n, &(wait, listener)) in calls.iter().enumerate() {
         now += wait;
         let (ix, mut verdict) = b.place(now, ask(n as u64 + 1, listener));
         while let Verdict::Dial { .. } = verdict {
             let over = !fails(n);
-            let Some(next) = b.settled(now, ix, if over { How::Accepted } else { How::Unmade }, over) else {
+            let Some(next) = b.settled(now, ix, if over { Outcome::Accepted } else { Outcome::Unmade }, over)
+            else {
                 break;
             };
             further.extend(matches!(next, Verdict::Dial { .. }).then_some(now));
@@ -419,16 +420,18 @@
 /// One that was never sent is taken back by itself: the dial of another since then still counts in its own window.
 #[test]
 fn an_unsent_dial_takes_back_no_other_ones_place_in_the_window() {
-    let mut b =
-        fleet(Settings { ration: Some(Ration { free: 2.0, share: 0.0, ..RATION }), ..settings() }, 40);
+    let mut b = fleet(
+        Settings { retry_budget: Some(RetryBudget { free: 2.0, share: 0.0, ..RATION }), ..settings() },
+        40,
+    );
     let again = |b: &mut Balancer, now, key| {
         let (ix, _) = b.place(now, ask(key, 0));
-        (ix, b.settled(now, ix, How::Unmade, false).unwrap())
+        (ix, b.settled(now, ix, Outcome::Unmade, false).unwrap())
     };
     let (first, verdict) = again(&mut b, 0, 1);
     dialled(verdict);
     dialled(again(&mut b, 3 * SECOND, 2).1);
-    b.settled(4 * SECOND, first, How::Unsent, true);
+    b.settled(4 * SECOND, first, Outcome::Unsent, true);
     dialled(again(&mut b, 55 * SECOND / 10, 3).1);
     let (_, third) = again(&mut b, 79 * SECOND / 10, 4);
     assert!(matches!(third, Verdict::Refuse { .. }), "those of 3 s and 5.5 s lie in the window: {third:?}");
@@ -437,12 +440,12 @@
 /// A process that takes over has no free dials of its own while the old one's may still lie in the window.
 #[test]
 fn a_process_that_takes_over_does_not_begin_with_a_full_ration() {
-    let mut b = fleet(Settings { ration: Some(RATION), ..settings() }, 40);
+    let mut b = fleet(Settings { retry_budget: Some(RATION), ..settings() }, 40);
     b.succeeds(0);
     let again = |b: &mut Balancer, now, key| {
         let (ix, verdict) = b.place(now, ask(key, 0));
         dialled(verdict);
-        b.settled(now, ix, How::Unmade, false).unwrap()
+        b.settled(now, ix, Outcome::Unmade, false).unwrap()
     };
     assert!(matches!(again(&mut b, SECOND, 1), Verdict::Refuse { .. }));
     dialled(again(&mut b, 8 * SECOND, 2));
@@ -479,12 +482,12 @@
         let mut b = Balancer::new(Settings { probing: true, ..settings() }, seed, 0);
         b.heard_list(0, Scope::Cached, &[entry(0, State::Ready, 0)]);
         *first.entry(b.due()).or_insert(0) += 1;
-        b.probed(0, 0, How::Unmade, 10, 0.0, 0.0);
+        b.probed(0, 0, Outcome::Unmade, 10, 0.0, 0.0);
         while b.due() < 12 * SECOND {
             let now = b.due();
             for _ in b.chores(now).iter().filter(|c| matches!(c, Chore::Probe(_))) {
                 asked[(now / SECOND) as usize] += 1;
-                b.probed(now, 0, How::Unmade, 10, 0.0, 0.0);
+                b.probed(now, 0, Outcome::Unmade, 10, 0.0, 0.0);
             }
         }
     }
@@ -500,7 +503,7 @@
     let (ix, verdict) = b.place(0, ask(5, 0));
     assert_eq!(verdict, Verdict::Wait);
     assert!(b.chores(0).contains(&Chore::Probe(owner)));
-    b.probed(50, owner, How::Accepted, 50, 1.2, 0.0);
+    b.probed(50, owner, Outcome::Accepted, 50, 1.2, 0.0);
     let asked: Vec<_> = b.chores(50).into_iter().filter(|c| matches!(c, Chore::Probe(_))).collect();
     assert!(asked.len() == 1 && asked[0] != Chore::Probe(owner), "the second is asked next: {asked:?}");
     let late = b.chores(SECOND).into_iter().find_map(|c| match c {
@@ -522,7 +525,7 @@
             let asks = b.chores(now).contains(&Chore::Probe(0));
             probes += u32::from(asks);
             if asks {
-                b.probed(now, 0, How::Accepted, 10, 0.1, 0.0);
+                b.probed(now, 0, Outcome::Accepted, 10, 0.1, 0.0);
             }
         }
         probes
@@ -593,10 +596,10 @@
         let mut b = Balancer::new(Settings { proxies, ..settings() }, seed, 0);
         b.heard_list(0, Scope::Cached, &entries);
         if told > 0.0 {
-            b.probed(0, 1, How::Accepted, 10, 0.5, told);
+            b.probed(0, 1, Outcome::Accepted, 10, 0.5, told);
         } else {
             // Where reports hold no count of sessions, a load alone says nothing of what a server bears.
-            b.probed(0, 1, How::Accepted, 10, 0.5, 0.0);
+            b.probed(0, 1, Outcome::Accepted, 10, 0.5, 0.0);
             for n in 0..50 {
                 let (ix, verdict) = b.place(0, ask(9 + n * 77, 0));
                 if dialled(verdict) == 0 {
@@ -608,7 +611,7 @@
         for n in 0..20 * rate {
             let at = now + n * SECOND / rate;
             for s in 1..servers * usize::from(full) {
-                b.probed(at, s, How::Accepted, 10, 0.9, 45.0);
+                b.probed(at, s, Outcome::Accepted, 10, 0.9, 45.0);
             }
             let (ix, verdict) = b.place(at, ask(1 + seed + n * 1000, 0));
             sent[(n / rate) as usize] += u32::from(verdict_is(verdict, 0));
@@ -644,7 +647,7 @@
         let proxy = |seed| {
             let mut b = Balancer::new(set.clone(), seed, 0);
             b.heard_list(0, Scope::Cached, &(1..10).map(|s| entry(s, State::Ready, 0)).collect::<Vec<_>>());
-            b.probed(0, 1, How::Accepted, 10, 0.5, 25.0);
+            b.probed(0, 1, Outcome::Accepted, 10, 0.5, 25.0);
             let now = 60 * SECOND;
             b.heard_list(now, Scope::Changes, &[entry(0, State::Ready, now - SECOND)]);
             let key = seed..;
@@ -737,7 +740,7 @@
             let (ix, mut verdict) = b.place(n * 100, ask(n + 1, 0));
             while let Verdict::Dial { .. } = verdict {
                 dials += u32::from(n >= 30);
-                verdict = b.settled(n * 100 + 10, ix, How::Error, false).expect("not over");
+                verdict = b.settled(n * 100 + 10, ix, Outcome::Error, false).expect("not over");
             }
         }
     }
@@ -794,7 +797,7 @@
     assert_ne!(dialled(b.place(20, ask(key, 0)).1), 0, "it left the table");
     assert_eq!(moves(&mut b, 1), 0);
     for _ in 0..2 {
-        b.probed(20, 0, How::Unmade, 0, 0.0, 0.0);
+        b.probed(20, 0, Outcome::Unmade, 0, 0.0, 0.0);
     }
     assert_ne!(dialled(b.place(30, Session { mid_flow: true, ..ask(key, 0) }).1), 0);
     assert!(moves(&mut b, 21) > 0);
@@ -814,7 +817,7 @@
     let (ix, verdict) = b.place(0, ask(3, 0));
     b.stood(10, ix);
     for _ in 0..2 {
-        b.probed(20, dialled(verdict), How::Late, 10, 0.0, 0.0);
+        b.probed(20, dialled(verdict), Outcome::Late, 10, 0.0, 0.0);
     }
     assert!((20..60).any(|n| b.chores(n * SECOND / 4).contains(&Chore::Move(ix))));
 }
@@ -823,7 +826,7 @@
 fn a_message_unanswered_has_its_server_probed_soon() {
     let mut b = fleet(Settings { probing: true, ..settings() }, 1);
     let (ix, _) = b.place(0, ask(3, 0));
-    b.probed(10, 0, How::Accepted, 10, 0.0, 0.0);
+    b.probed(10, 0, Outcome::Accepted, 10, 0.0, 0.0);
     b.chores(10);
     b.stood(20, ix);
     let probes = |from, b: &mut Balancer| {
@@ -852,7 +855,7 @@
     let opens = |crowded: bool| {
         let mut b = fleet(Settings { probing: true, ..settings() }, 2);
         let owner = dialled(fleet(settings(), 2).place(0, ask(3, 0)).1);
-        b.probed(0, owner, How::Accepted, if crowded { 400 } else { 10 }, 0.0, 0.0);
+        b.probed(0, owner, Outcome::Accepted, if crowded { 400 } else { 10 }, 0.0, 0.0);
         (1..80u64).find(|n| {
             (0..5).for_each(|part| drop(b.chores((n - 1) * SECOND + part * SECOND / 5)));
             let (ix, verdict) = b.place(n * SECOND, ask(3, 0));
@@ -872,7 +875,7 @@
     for key in 1..21 {
         let (ix, _) = b.place(0, ask(key, 0));
         b.chores(0);
-        b.probed(10, 0, How::Accepted, 10, 0.1, 0.0);
+        b.probed(10, 0, Outcome::Accepted, 10, 0.1, 0.0);
         b.chores(10);
         b.stood(20, ix);
         // A line comes back and tells the load of one: the server answers, which is not to say in time.
@@ -881,7 +884,7 @@
     let chores = b.chores(2 * SECOND);
     assert!(chores.contains(&Chore::Probe(0)), "a server that holds many is asked though it is heard of");
     b.heard_list(2 * SECOND, Scope::Changes, &[entry(1, State::Ready, 0)]);
-    b.probed(2 * SECOND, 0, How::Accepted, 10, 1.8, 0.0);
+    b.probed(2 * SECOND, 0, Outcome::Accepted, 10, 1.8, 0.0);
     let moved = |b: &mut Balancer, now| b.chores(now).iter().filter(|c| matches!(c, Chore::Move(_))).count();
     assert!((9..=11).contains(&moved(&mut b, 3 * SECOND)), "half of its load is too much");
     assert_eq!(moved(&mut b, 4 * SECOND), 0, "once for each time that it tells");
@@ -893,13 +896,13 @@
     let mut b = fleet(Settings { probing: true, tells_load: true, ..settings() }, 1);
     let (first, _) = b.place(0, ask(5, 0));
     b.chores(0);
-    b.probed(400, 0, How::Accepted, 400, 0.0, 0.0);
+    b.probed(400, 0, Outcome::Accepted, 400, 0.0, 0.0);
     let told = Chore::Tell(first, Verdict::Dial { server: 0, limit: 2 * SECOND - 400, by: 2 * SECOND });
     assert!(b.chores(400).contains(&told), "it is idle, however late its answer");
     b.stood(500, first);
-    b.probed(SECOND, 0, How::Accepted, 10, 1.2, 0.0);
+    b.probed(SECOND, 0, Outcome::Accepted, 10, 1.2, 0.0);
     assert!(matches!(b.place(2 * SECOND, ask(5, 0)).1, Verdict::Refuse { .. }), "no more than it holds");
-    b.probed(3 * SECOND, 0, How::Accepted, 10, 0.3, 0.0);
+    b.probed(3 * SECOND, 0, Outcome::Accepted, 10, 0.3, 0.0);
     // A proxy that has just started holds little there, which is no measure of the room.
     for key in 5..9 {
         dialled(b.place(3 * SECOND, ask(key, 0)).1);
@@ -921,7 +924,7 @@
         }
         let (hangs, bad) = b.place(SECOND, ask(99, 0));
         let bad = dialled(bad);
-        b.settled(3 * SECOND, hangs, How::Late, true);
+        b.settled(3 * SECOND, hangs, Outcome::Late, true);
         for (ix, _) in stands.iter().filter(|(_, server)| *server == bad).cycle().take(20) {
             b.noted(3 * SECOND, *ix, Note::Load(1.0));
         }
@@ -942,7 +945,7 @@
     }
     let heavy = there[there.len() / 2];
     b.noted(20, heavy, Note::Load(20_000.0));
-    b.probed(2 * SECOND, 0, How::Accepted, 10, 0.9, 0.0);
+    b.probed(2 * SECOND, 0, Outcome::Accepted, 10, 0.9, 0.0);
     let moves: Vec<_> = b.chores(2 * SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
     assert_eq!(moves, [Chore::Move(heavy)]);
 }
@@ -979,7 +982,7 @@
         b.stood(n * 10 + 5, ix);
         if server == *bad.get_or_insert(server) {
             sent += 1;
-            b.settled(n * 10 + 6, ix, How::Broken, true);
+            b.settled(n * 10 + 6, ix, Outcome::Broken, true);
         }
     }
     assert!(sent < 20, "{sent} of 100 sessions to a server that drops them");
@@ -1005,7 +1008,7 @@
     let mut b = fleet(settings(), 8);
     let placed: Vec<_> = (1..21).map(|key| b.place(0, ask(key, 1)).0).collect();
     for ix in &placed[..10] {
-        assert_eq!(b.settled(100, *ix, How::Error, false), Some(Verdict::TearDown));
+        assert_eq!(b.settled(100, *ix, Outcome::Error, false), Some(Verdict::TearDown));
     }
     assert!(!matches!(b.place(100, ask(99, 1)).1, Verdict::Dial { .. }));
     // One that goes on at its server needs no set-up; it was refused after a restart, and so cut off.
@@ -1089,12 +1092,16 @@
         placed.iter().for_each(|(ix, _)| b.stood(10, *ix));
         let on = placed.iter().find(|(_, to)| dialled(*to) == 0).unwrap().0;
         b.settled(SECOND, on, how, true);
-        b.probed(2 * SECOND, 0, How::Accepted, 10, 0.0, 0.0);
+        b.probed(2 * SECOND, 0, Outcome::Accepted, 10, 0.0, 0.0);
         let now = 12 * SECOND;
         (100..400).filter(|key| dialled(b.place(now, ask(*key, 0)).1) == 0).count()
     };
-    assert!(sent(How::Broken) <= 2, "{} sessions to a server that has just come back", sent(How::Broken));
-    assert!(sent(How::Late) > 20, "{} sessions to a server that was late once", sent(How::Late));
+    assert!(
+        sent(Outcome::Broken) <= 2,
+        "{} sessions to a server that has just come back",
+        sent(Outcome::Broken)
+    );
+    assert!(sent(Outcome::Late) > 20, "{} sessions to a server that was late once", sent(Outcome::Late));
 }
 
 #[test]
@@ -1202,7 +1209,7 @@
         let placed: Vec<_> = (1..31).map(|key| b.place(0, ask(key, 0)).0).collect();
         for ix in &placed {
             b.chores(SECOND);
-            b.settled(2 * SECOND, *ix, How::Late, false);
+            b.settled(2 * SECOND, *ix, Outcome::Late, false);
         }
         (31..61).filter(|key| matches!(b.place(2 * SECOND, ask(*key, 0)).1, Verdict::Refuse { .. })).count()
     };
@@ -1214,7 +1221,7 @@
     let dialled_after = |took| {
         let mut b = fleet(settings(), 8);
         let placed: Vec<_> = (1..41).map(|key| b.place(0, ask(key, 0)).0).collect();
-        placed[..20].iter().for_each(|ix| _ = b.settled(100, *ix, How::Late, false));
+        placed[..20].iter().for_each(|ix| _ = b.settled(100, *ix, Outcome::Late, false));
         placed[20..].iter().for_each(|ix| b.stood(took, *ix));
         (100..140).filter(|key| matches!(b.place(took, ask(*key, 0)).1, Verdict::Dial { .. })).count()
     };
