From reading the change again: one last call, one way to let a connection in

Cause: the last answer before the exit was written out at two waits, and letting a connection in at two places. Change: last_call() says its reason itself, a closure admits; nothing behaves otherwise.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -269,12 +269,8 @@
         let may_have_run = Cell::new(false);
         let reason = loop {
             let order = async { orders.recv().await.ok().ok_or(Reason::ClientLeft) };
-            let last = async {
-                self.last_call().await;
-                Err(Reason::Stopped)
-            };
-            let stirs_first = stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow);
-            match order.or(stirs_first).or(last).await {
+            let stirred = stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow);
+            match order.or(stirred).or(self.last_call()).await {
                 // Only the first needs another descriptor: nothing has run.
                 Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
                 Ok(Order::Dial { dial: number, server, address, until, by }) => {
@@ -296,11 +292,8 @@
                         })
                     };
                     let over = async { Ok(Err(permit.over(&orders).await)) };
-                    let last = async {
-                        self.last_call().await;
-                        Err(Reason::Stopped)
-                    };
-                    match over.or(stirs(stream, inbox, head.mid_flow)).or(work).or(last).await {
+                    let stirred = stirs(stream, inbox, head.mid_flow);
+                    match over.or(stirred).or(work).or(self.last_call()).await {
                         Err(reason) => break reason,
                         Ok(Err(Outcome::Unsent)) if !waits_still(stream.get_ref(), head.mid_flow) => {
                             let Err(reason) = stirs::<Infallible>(stream, inbox, head.mid_flow).await;
@@ -385,9 +378,10 @@
     }
 
     /// Resolves when there is no more time for an answer: who still waits then has the last one.
-    async fn last_call(&self) {
+    async fn last_call<T>(&self) -> Result<T, Reason> {
         let _ = self.stop.recv().await;
         Timer::at(self.until() - LAST).await;
+        Err(Reason::Stopped)
     }
 
     fn listener(&self, head: &Head<'_>) -> Option<usize> {
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -125,6 +125,10 @@
     });
     // While an old process takes connections, this one does not.
     let mut takes = old.is_none();
+    let admit = |stream| match front.room.enter() {
+        Some(place) => executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach(),
+        None => clients::turn_away(&stream),
+    };
     let accept = async {
         loop {
             let turn = async {
@@ -142,12 +146,7 @@
             match turn.or(next).await {
                 Err(now) => takes = now,
                 Ok(Ok((stream, _))) => {
-                    match front.room.enter() {
-                        Some(place) => {
-                            executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach();
-                        }
-                        None => clients::turn_away(&stream),
-                    }
+                    admit(stream);
                     // Who gives way is to have closed before the next one comes.
                     future::yield_now().await;
                 }
@@ -210,11 +209,7 @@
     accept.or(inherit).or(stopped).await;
     // What the kernel has taken for us counts as taken: the listener's end would reset it.
     while let Ok((stream, _)) = listener.get_ref().accept() {
-        let Ok(stream) = Async::new(stream) else { continue };
-        match front.room.enter() {
-            Some(place) => executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach(),
-            None => clients::turn_away(&stream),
-        }
+        let _ = Async::new(stream).map(admit);
     }
     tracing::info!("no more connections are taken: the proxy stops");
     drop(listener);
