A connection of before the start has an answer at a stop; one that left is no failure

Cause: clients.rs, Front::stand raced its dials only with its client's leaving: at a stop nobody ended the wait of up to 40 s, and the process exited over it, which the client saw as a reset with no answer. One that left on its own was counted as failed and answered.

Change: the wait ends 0.1 s before the exit as that of any other session does, with ERR; who left is in none of the three figures; one without a descriptor says no_room in the log.

Test: a_connection_of_before_has_an_answer_when_the_proxy_stops, a server on which connections never come up.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -400,35 +400,35 @@
         let Link { stream, inbox } = &mut client.link;
         let stream = &*stream;
         let work = async {
-            let Ok(Order::Dial { address: Some(address), .. }) = orders.recv().await else { return None };
-            room.then_some(())?;
+            let Ok(Order::Dial { address: Some(address), .. }) = orders.recv().await else {
+                return Err(Reason::TornDown);
+            };
+            room.then_some(()).ok_or(Reason::NoRoom)?;
             loop {
                 let mut slices = [std::io::IoSlice::new(line)];
                 let waits = || waits_still(stream.get_ref(), true);
                 match dial(address, &mut slices, until, self.connect_timeout, waits, &self.figures).await {
-                    Ok(link) => return Some(link),
+                    Ok(link) => return Ok(link),
                     // Once it may have run there, another would be a second copy.
-                    Err(how) if !how.never_ran() || Instant::now() >= until => return None,
+                    Err(how) if !how.never_ran() || Instant::now() >= until => return Err(Reason::TornDown),
                     Err(_) => Timer::after(STAND_AGAIN).await,
                 };
             }
         };
-        let stood = work.or(async {
-            let _ = stirs::<()>(stream, inbox, true).await;
-            None
-        });
-        match stood.await {
-            Some(link) => {
+        match work.or(stirs(stream, inbox, true)).or(self.last_call()).await {
+            Ok(link) => {
                 self.figures.answered(listener, Answer::Accepted);
                 self.queue.send(Event::Adopt { session, ask, server }).await;
                 let at = Stands { session, dial: 0, server, head: line, unanswered: 0, load: None };
                 self.standing(at, client, link, &orders).await
             }
-            None => {
+            Err(reason) => {
                 self.queue.send(Event::Left { session }).await;
-                self.figures.answered(listener, Answer::Failed);
-                answer(client, "ERR\r\n").await;
-                Reason::TornDown
+                if reason != Reason::ClientLeft {
+                    self.figures.answered(listener, Answer::Failed);
+                    answer(client, "ERR\r\n").await;
+                }
+                reason
             }
         }
     }
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -201,6 +201,22 @@
     proxy.thread.join().unwrap();
 }
 
+/// One that stood before the start waited for its server for up to 40 s, whatever became of the process meanwhile; and
+/// one that left was counted as failed.
+#[test]
+fn a_connection_of_before_has_an_answer_when_the_proxy_stops() {
+    let (deaf, at) = Deaf::new();
+    let proxy = quiet(&[at]);
+    let mut waits = Peer::connect(proxy.address, &open("c=chat,d=2000,at=s-0"));
+    drop(Peer::connect(proxy.address, &open("c=pay,d=2000,at=s-0")));
+    deaf.is_knocked_at();
+    figures_become(&proxy, [0, 0, 0, 0, 0, 0, 0, 1]);
+    drop(proxy.stop);
+    assert_eq!(waits.hear(), "ERR\r\n");
+    proxy.thread.join().unwrap();
+    assert_eq!(heads(&deaf.listen()), [""; 0]);
+}
+
 /// Its server took nothing any more, and nobody looked: the session stood for as long as both sides did.
 #[test]
 fn a_session_whose_server_takes_no_more_lines_is_moved() {
