The client is looked for before a dial connects, not only before its first byte

Cause: clients.rs, Front::session and Front::stand: on an order to dial connect(2) was called in the same poll in which the task first asked the reactor for the client's end, which answers in a later one. So a client whose end was in the kernel, come with its line, while its probe, its queue or its last dial was waited for, still got a connection to a server; only the first byte was held back.

Change: dial asks may_begin right before it connects: a peek at the client's socket, as before the first byte. Such a dial settles as unsent.

Tests: a_client_that_left_with_its_first_line_is_not_sent_on took connections with nothing said for none; it now wants that the first connection at the server be the one whose client stays, and does the same for connections of before the start. a_client_that_leaves_between_two_dials_gets_no_other and a_client_that_leaves_as_its_probe_comes_back_is_not_sent_on hold the proxy's thread (stage::Hold) with the answer heard and the next order not given, and let the client go then.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -278,11 +278,14 @@
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let permit = Permit { dial: number, by: by.into(), until, sent: false.into() };
                     let Link { stream, inbox } = &mut client.link;
-                    let may_send = || waits_still(stream.get_ref(), head.mid_flow) && permit.take();
-                    let timeout = self.connect_timeout;
+                    // The reactor need not have told yet of a client that left: while its line came, while it waited
+                    // for a probe or in a queue, or while another dial of its was out.
+                    let waits = || waits_still(stream.get_ref(), head.mid_flow);
+                    let may_send = || waits() && permit.take();
+                    let (timeout, figures) = (self.connect_timeout, &self.figures);
                     let work = async {
                         Ok(match address {
-                            Some(to) => dial(to, &mut slices, until, timeout, may_send, &self.figures).await,
+                            Some(to) => dial(to, &mut slices, until, timeout, waits, may_send, figures).await,
                             None => Err(Outcome::Unmade),
                         })
                     };
@@ -407,7 +410,8 @@
             loop {
                 let mut slices = [std::io::IoSlice::new(line)];
                 let waits = || waits_still(stream.get_ref(), true);
-                match dial(address, &mut slices, until, self.connect_timeout, waits, &self.figures).await {
+                let (timeout, figures) = (self.connect_timeout, &self.figures);
+                match dial(address, &mut slices, until, timeout, waits, waits, figures).await {
                     Ok(link) => return Ok(link),
                     // Once it may have run there, another would be a second copy.
                     Err(how) if !how.never_ran() || Instant::now() >= until => return Err(Reason::TornDown),
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -100,16 +100,21 @@
 /// first in its inbox; else how the dial ended. Its connection is closed then, so that another dial may
 /// follow at once.
 ///
-/// Making the connection takes time, in which what the order rested on may end: `may_send` is asked in the moment of
-/// the first byte, and a dial that may not go out any more has not run.
+/// An attempt begins with its connection, and making that takes time, in which what the order rested on may end:
+/// `may_begin` is asked in the moment before the connection and `may_send` in that of the first byte. A dial that may
+/// not go out any more has not run.
 pub async fn dial(
     server: SocketAddr,
     head: &mut [IoSlice<'_>],
     until: Instant,
     connect_timeout: Duration,
+    may_begin: impl FnOnce() -> bool,
     may_send: impl FnOnce() -> bool,
     figures: &Figures,
 ) -> std::result::Result<Link, Outcome> {
+    if !may_begin() {
+        return Err(Outcome::Unsent);
+    }
     let left = until.saturating_duration_since(Instant::now());
     let mut link = connect(server, connect_timeout.min(left)).await?;
     if !may_send() {
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -62,22 +62,63 @@
 }
 
 /// The end of a connection came with its first line and was looked for only after the dial: the server ran what
-/// nobody waited for.
+/// nobody waited for. Then it was looked for before the first byte, when the attempt had begun with its connection.
 #[test]
 fn a_client_that_left_with_its_first_line_is_not_sent_on() {
-    let (listener, at) = server();
-    let door = TcpListener::bind("127.0.0.1:0").unwrap();
-    for _ in 0..20 {
-        drop(Peer::connect(door.local_addr().unwrap(), &open("c=pay,d=2000")));
+    for ask in ["c=pay,d=2000", "c=pay,d=2000,at=s-0"] {
+        let (listener, at) = server();
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        for _ in 0..20 {
+            drop(Peer::connect(door.local_addr().unwrap(), &open(ask)));
+        }
+        let proxy = serve_at(door, &config(&[at], nobody(), "proxy", 1024));
+        let mut stays = Peer::connect(proxy.address, &open(ask));
+        let mut server = Peer::accept(&listener);
+        assert_eq!(server.hear().split(' ').next(), Some("OPEN"), "{ask}: connected for one that had left");
+        server.say("UP 1\r\n");
+        assert_eq!(stays.hear(), "UP 1\r\n");
+        // One try, and only one accepted.
+        figures_become(&proxy, [0, 0, 0, 1, 0, 0, 1, 1, 1]);
+        assert_eq!(connections(&listener), [""; 0], "{ask}");
     }
-    let proxy = serve_at(door, &config(&[at], nobody(), "proxy", 1024));
-    let mut stays = Peer::connect(proxy.address, &open("c=pay,d=2000"));
-    let mut server = std::iter::repeat_with(|| Peer::accept(&listener));
-    let mut server = server.find_map(|mut s| Some(s.hear()).filter(|l| !l.is_empty()).map(|_| s)).unwrap();
-    server.say("UP 1\r\n");
-    assert_eq!(stays.hear(), "UP 1\r\n");
-    // One try, and only one accepted.
-    figures_become(&proxy, [0, 0, 0, 1, 0, 0, 1, 1, 1]);
+}
+
+/// Its end was in the kernel when the word came to dial again, and the reactor had not told of it yet.
+#[test]
+fn a_client_that_leaves_between_two_dials_gets_no_other() {
+    let (listener, at) = server();
+    let mut proxy = quiet(&[at, at]);
+    let client = Peer::connect(proxy.address, &open("c=pay,d=2000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    proxy.hold.stop();
+    server.say("BUSY\r\n");
+    proxy.hold.step();
+    client.leaves();
+    proxy.hold.go();
+    figures_end(&proxy, [1, 0, 2]);
+    assert_eq!(connections(&listener), [""; 0]);
+}
+
+/// The same for one that waits until a server has been asked what it bears.
+#[test]
+fn a_client_that_leaves_as_its_probe_comes_back_is_not_sent_on() {
+    let (listener, at) = server();
+    // However long the probe takes, it finds no crowd.
+    let config = config(&[at], nobody(), "proxy", 1024);
+    let config = config.replace(r#""mode":"proxy""#, r#""mode":"proxy","message_aim_ns":[60000000000]"#);
+    let mut proxy = start_by(&config.replace(r#""send_cap""#, r#""probing":true,"send_cap""#));
+    let client = Peer::connect(proxy.address, &open("c=pay,d=5000"));
+    let mut probe = Peer::accept(&listener);
+    assert_eq!(probe.hear(), "PING\r\n");
+    figures_end(&proxy, [0, 1, 1]);
+    proxy.hold.stop();
+    probe.say("PONG\r\n");
+    proxy.hold.step();
+    client.leaves();
+    proxy.hold.go();
+    figures_end(&proxy, [0, 0, 1]);
+    assert_eq!(connections(&listener), [""; 0]);
 }
 
 /// With as much said as is held for a session, its client's end was not looked for any more.
@@ -214,7 +255,7 @@
     drop(proxy.stop);
     assert_eq!(waits.hear(), "ERR\r\n");
     proxy.thread.join().unwrap();
-    assert_eq!(heads(&deaf.listen()), [""; 0]);
+    assert_eq!(connections(&deaf.listen()), [""; 0]);
 }
 
 /// Its server took nothing any more, and nobody looked: the session stood for as long as both sides did.
--- a/crates/larklink-proxy/tests/stage/mod.rs
+++ b/crates/larklink-proxy/tests/stage/mod.rs
@@ -1,14 +1,18 @@
 //! A whole proxy on loopback sockets, with servers, an agent and clients that a test holds in its hands, line by line.
 #![allow(dead_code, reason = "each file of tests uses a part")]
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::mpsc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::future;
 use larklink_proxy::config::Config;
 use larklink_proxy::figures::Figures;
 use larklink_proxy::proxy::{self, Start};
@@ -22,6 +26,54 @@
     pub stop: Sender<()>,
     pub thread: JoinHandle<()>,
     pub figures: Arc<Figures>,
+    pub hold: Hold,
+}
+
+/// Holds a proxy's thread, so that what happens meanwhile happens in the order that a test wants.
+pub struct Hold {
+    bell: UnixStream,
+    held: mpsc::Receiver<()>,
+}
+
+impl Hold {
+    /// Also a task for the thread that is to be held.
+    pub fn new() -> (Self, impl Future<Output = ()>) {
+        let ((bell, rung), (tell, held)) = (UnixStream::pair().unwrap(), mpsc::channel());
+        let task = async move {
+            let rung = Async::new(rung).unwrap();
+            let next = async || {
+                let mut order = [0];
+                let _ = rung.readable().await;
+                rung.get_ref().read(&mut order).is_ok_and(|n| n > 0).then_some(order[0])
+            };
+            while next().await.is_some() {
+                while tell.send(()).is_ok() && async_io::block_on(next()) == Some(b's') {
+                    future::yield_now().await;
+                }
+            }
+        };
+        (Self { bell, held }, task)
+    }
+
+    /// The thread stands from here on: the reactor hears what comes, and no task acts.
+    pub fn stop(&mut self) {
+        self.order(b'x');
+        self.held.recv_timeout(PATIENCE).unwrap();
+    }
+
+    /// Tasks that have heard something by now act, once; those whom they tell of it do not yet.
+    pub fn step(&mut self) {
+        self.order(b's');
+        self.held.recv_timeout(PATIENCE).unwrap();
+    }
+
+    pub fn go(&mut self) {
+        self.order(b'g');
+    }
+
+    fn order(&mut self, order: u8) {
+        self.bell.write_all(&[order]).unwrap();
+    }
 }
 
 impl Peer {
@@ -35,6 +87,16 @@
         Self::new(listener.accept().unwrap().0)
     }
 
+    /// It leaves, and the other side's kernel knows; its process need not.
+    pub fn leaves(self) {
+        let of = |at: std::io::Result<SocketAddr>| format!("0100007F:{:04X}", at.unwrap().port());
+        let (own, other) = (of(self.0.get_ref().local_addr()), of(self.0.get_ref().peer_addr()));
+        drop(self);
+        // As the kernel lists it: both addresses, and that the far side has ended it.
+        let ended = format!("{other} {own} 08");
+        becomes(|| std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&ended));
+    }
+
     pub fn ends(&mut self) {
         let mut rest = Vec::new();
         self.0.read_to_end(&mut rest).unwrap();
@@ -92,14 +154,16 @@
     let (_, moved) = async_channel::bounded(1);
     let figures = Figures::new(&config.settings.listeners);
     let counted = Arc::clone(&figures);
+    let (hold, holding) = Hold::new();
     let thread = thread::spawn(move || {
         let executor = Rc::new(LocalExecutor::new());
         let start =
             Start { config, listener, stop: stopping, moved, figures: counted, place: None, old: None };
+        executor.spawn(holding).detach();
         let run = proxy::run(start, Rc::clone(&executor));
         async_io::block_on(executor.run(run)).unwrap();
     });
-    Proxy { address, stop, thread, figures }
+    Proxy { address, stop, thread, figures, hold }
 }
 
 pub fn config(servers: &[SocketAddr], agent: SocketAddr, mode: &str, sockets: usize) -> String {
@@ -210,9 +274,14 @@
 
 /// What has been sent to a server on connections that nobody answered, up to now.
 pub fn heads(listener: &TcpListener) -> Vec<String> {
+    connections(listener).into_iter().filter(|line| !line.is_empty()).collect()
+}
+
+/// The first line on each connection to a server, up to now; nothing where none was sent.
+pub fn connections(listener: &TcpListener) -> Vec<String> {
     let last = Peer::connect(listener.local_addr().unwrap(), "the last\r\n");
     let all = std::iter::repeat_with(|| Peer::accept(listener).hear());
-    let all = all.take_while(|line| line != "the last\r\n").filter(|line| !line.is_empty()).collect();
+    let all = all.take_while(|line| line != "the last\r\n").collect();
     drop(last);
     all
 }
