A request of which a stop finds a part has an answer

Change: who has said a part of its line goes on for the 2 s that a line may take, up to 0.1 s before the exit, and is answered BUSY then.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -203,17 +203,20 @@
             Err(Reason::Stopped)
         };
         let mut line = first_line(client).or(give_way).or(closed).await;
-        // A line that has come by now is answered like any other: nobody is there to send it again.
+        // A line that has come by now is answered like any other: nobody is there to send it again. So is one of which a
+        // stop finds a part, as long as it may still come.
         if matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled))
-            && client.link.has_line()
+            && (client.link.has_line() || line == Err(Reason::Stopped) && client.link.has_some())
         {
-            line = first_line(client).await;
+            line = first_line(client).or(self.last_call()).await;
         }
         let line = match line {
             Ok(line) => line,
             Err(reason) => {
                 match reason {
                     Reason::NoRoom => busy_at_once(&client.link.stream),
+                    // The rest of its line may be on its way.
+                    Reason::Stopped if client.link.has_some() => answer(client, "BUSY\r\n").await,
                     Reason::BadLine | Reason::HeadStalled => answer(client, "ERR\r\n").await,
                     // In good order: what comes in this instant must not be met by a reset.
                     _ => close(&client.link).or(client.place.must_go()).await,
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -54,6 +54,11 @@
         }
         self.inbox.line().is_some()
     }
+
+    /// Whether anything has been said that nobody has taken yet.
+    pub fn has_some(&self) -> bool {
+        !self.inbox.bytes().is_empty()
+    }
 }
 
 /// Reads once, when there is something; 0 at the end.
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -282,6 +282,31 @@
     proxy.thread.join().unwrap();
 }
 
+/// Cut off after half its first line: the rest met a connection that had been shut with no answer.
+#[test]
+fn a_request_in_pieces_at_a_stop_is_answered() {
+    let (listener, at) = server();
+    let longer = config(&[at], nobody(), "proxy", 1024).replace("300000000", "2000000000");
+    let proxy = start_by(&longer);
+    let mut rests = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(rests.hear(), "PONG\r\n");
+    let head = open("c=chat,d=2000");
+    let (first, rest) = head.split_at(12);
+    let mut whole = Peer::connect(proxy.address, first);
+    let mut half = Peer::connect(proxy.address, &format!("PING\r\n{first}"));
+    assert_eq!(half.hear(), "PONG\r\n");
+    drop(proxy.stop);
+    // Who has said nothing more ends with the listener.
+    rests.ends();
+    whole.say(rest);
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    server.say("UP 1\r\n");
+    assert_eq!(whole.hear(), "UP 1\r\n");
+    assert_eq!(half.hear(), "BUSY\r\n");
+    proxy.thread.join().unwrap();
+}
+
 /// One that stood before the start waited for its server for up to 40 s, whatever became of the process meanwhile; and
 /// one that left was counted as failed.
 #[test]
