The program hears signals before it listens, so that a stop finds nothing unanswered

Cause: main.rs, start listened first and took hold of SIGTERM after: a stop in between ended the process on the spot, and what the kernel had accepted for it was reset. A SIGKILL in that instant leaves nothing that could answer.

Change: signals first. Test: a_process_that_is_stopped_as_it_starts_ends_in_good_order, held at its start by a stand-in for the process before; with the old order 2 of 2 runs end by signal 15.

--- a/crates/larklink-proxy/src/main.rs
+++ b/crates/larklink-proxy/src/main.rs
@@ -38,13 +38,15 @@
 
 fn start(path: PathBuf, config: Config) -> Result<(), String> {
     let _log = log::start();
+    // Before there is a connection that a signal could take along: the kernel accepts from the first moment in which
+    // we listen.
+    let mut signals =
+        Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let place = handover::place(&config, std::env::var_os("TMPDIR").map(PathBuf::from));
     let (listener, old) = match place.as_deref().and_then(|at| meet(at, config.listen)) {
         Some((listener, old)) => (listener, Some(old)),
         None => (listen(&config).map_err(|e| format!("{}: {e}", config.listen))?, None),
     };
-    let mut signals =
-        Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     tracing::info!(name = config.name, listen = %address, "starts");
     let figures = Figures::new(&config.settings.listeners);
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -127,6 +127,23 @@
     }
 }
 
+/// A stop that came before it heard signals took it away as it stood, with what the kernel had accepted for it.
+#[test]
+fn a_process_that_is_stopped_as_it_starts_ends_in_good_order() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+    let proxy = Proxy::new("stopped-early", "proxy", nobody, nobody);
+    // It is held at its start by a process that serves already and says nothing.
+    let before = UnixListener::bind(proxy.place()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_larklink"));
+    command.arg(proxy.folder.join("config.json")).env("TMPDIR", &proxy.folder).stderr(Stdio::null());
+    let mut child = command.env("ROUTER_CONSOLE", "127.0.0.1:0").spawn().unwrap();
+    let met = before.accept().unwrap();
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    drop((met, before));
+    let end = child.wait().unwrap();
+    assert!(end.success(), "{end}");
+}
+
 /// A server that accepts every session, answers each line with the same line, and ends with the first that says
 /// so.
 fn echoes() -> SocketAddr {
