A process that refuses all it gets for 4 s on end says so in its log and its figures

Cause: nothing told of a process that serves nobody; in the jam of rolling restarts there were hundreds of them.

Change: figures.rs counts sessions that were refused with no dial begun for them, and periods of 4 s and more in which all were (ten at least; what is further apart counts anew): larklink_sessions_refused_without_dial_total and larklink_refusing_all_periods_total in /metrics, in its form of a name and a value. One line in the log when such a period is 4 s old, with the reason as far as sockets and the list show it, and one with the dial that ends it. The decisions tell no reason with a refusal: full, cold and held back are one to the proxy.

Tests: a_process_that_serves_nobody_says_so_once_and_when_it_is_over on told times, with the lines themselves; sessions_that_were_refused_without_a_dial_are_counted through a whole proxy. figures_end takes its figures by their names now, as they are no longer the last.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -235,6 +235,7 @@
         match head {
             Ok((_, listener)) if !client.place.seat() => {
                 self.figures.answered(listener, Answer::Refused);
+                self.figures.refused_undialled(Reason::NoRoom, Instant::now());
                 busy_at_once(&client.link.stream);
                 (None, Reason::NoRoom)
             }
@@ -269,7 +270,13 @@
             return self.stand(session, client, line, ask, server_id(at), (sender, orders)).await;
         }
         self.queue.send(Event::Open { session, came: client.came, ask, orders: sender }).await;
-        let mut may_have_run = false;
+        let (mut may_have_run, dialled) = (false, Cell::new(false));
+        let refused = |reason| {
+            self.figures.answered(listener, Answer::Refused);
+            if !dialled.get() {
+                self.figures.refused_undialled(reason, Instant::now());
+            }
+        };
         let reason = loop {
             let order = async { orders.recv().await.ok().ok_or(Reason::ClientLeft) };
             let stirred = stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow);
@@ -284,11 +291,18 @@
                     // The reactor need not have told yet of a client that left: while its line came, while it waited
                     // for a probe or in a queue, or while another dial of its was out.
                     let waits = || waits_still(stream.get_ref(), head.mid_flow);
+                    let may_begin = || {
+                        let begins = waits();
+                        dialled.set(dialled.get() || begins);
+                        begins
+                    };
                     let may_send = || waits() && permit.take();
                     let (timeout, figures) = (self.connect_timeout, &self.figures);
                     let work = async {
                         Ok(match address {
-                            Some(to) => dial(to, &mut slices, until, timeout, waits, may_send, figures).await,
+                            Some(to) => {
+                                dial(to, &mut slices, until, timeout, may_begin, may_send, figures).await
+                            }
                             None => Err(Outcome::Unmade),
                         })
                     };
@@ -321,7 +335,7 @@
                     }
                 }
                 Ok(Order::Refuse { retry_after }) => {
-                    self.figures.answered(listener, Answer::Refused);
+                    refused(Reason::Refused);
                     match retry_after.div_ceil(10) {
                         0 => answer(client, "BUSY\r\n").await,
                         ms => answer(client, &format!("BUSY {ms}\r\n")).await,
@@ -341,7 +355,7 @@
         self.queue.send(Event::Left { session }).await;
         match reason {
             Reason::NoRoom | Reason::Stopped if !may_have_run => {
-                self.figures.answered(listener, Answer::Refused);
+                refused(reason);
                 answer(client, "BUSY\r\n").await;
             }
             Reason::BadLine | Reason::NoRoom | Reason::Stopped => {
--- a/crates/larklink-proxy/src/servers.rs
+++ b/crates/larklink-proxy/src/servers.rs
@@ -120,6 +120,7 @@
     if !may_begin() {
         return Err(Outcome::Unsent);
     }
+    figures.dialled(Instant::now());
     let left = until.saturating_duration_since(Instant::now());
     let mut link = connect(server, connect_timeout.min(left)).await?;
     if !may_send() {
--- a/crates/larklink-proxy/tests/console.rs
+++ b/crates/larklink-proxy/tests/console.rs
@@ -1,11 +1,12 @@
 //! The operators' door on loopback: what it answers, whoever else calls, and what its figures count.
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use larklink_proxy::config::Config;
 use larklink_proxy::console::{self, CALLERS, answer};
 use larklink_proxy::figures::{Answer, Figures};
+use larklink_proxy::log::Reason;
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -50,7 +51,7 @@
 fn a_call_may_come_cut_at_any_byte() {
     let text = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
     (0..text.len()).for_each(|n| assert_eq!(answer(&text[..n], &figures()), None));
-    assert!(answer(text, &figures()).unwrap().ends_with("app.skipped_servers=0\n"));
+    assert!(answer(text, &figures()).unwrap().ends_with("_refusing_all_periods_total=0\n"));
 }
 
 /// Many more than the door hears at once, that say nothing or half a call, keep nobody out and cost no thread.
@@ -95,11 +96,93 @@
         figures.text(),
         "app.handled.chat.passed=1\napp.handled.chat.dropped=0\napp.handled.chat.bad_gateway=0\n\
          app.handled.pay.passed=0\napp.handled.pay.dropped=1\napp.handled.pay.bad_gateway=1\n\
-         app.upstream_tries=1\napp.in_progress=1\napp.known_servers=5\napp.skipped_servers=2\n"
+         app.upstream_tries=1\napp.in_progress=1\napp.known_servers=5\napp.skipped_servers=2\n\
+         larklink_sessions_refused_without_dial_total=0\nlarklink_refusing_all_periods_total=0\n"
     );
     drop(two);
 }
 
+/// Sessions refused without a dial, and periods in which all were.
+fn refusals(figures: &Figures) -> (usize, usize) {
+    let count = |name| {
+        let text = figures.text();
+        text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('=')?.parse().ok()).unwrap()
+    };
+    (count("larklink_sessions_refused_without_dial_total"), count("larklink_refusing_all_periods_total"))
+}
+
+/// What it writes to the log meanwhile, a line each.
+fn logged(work: impl FnOnce()) -> Vec<String> {
+    let (tell, told) = std::sync::mpsc::channel();
+    let writer = move || Line(tell.clone());
+    let log = tracing_subscriber::fmt().with_ansi(false).without_time().with_writer(writer).finish();
+    tracing::subscriber::with_default(log, work);
+    told.into_iter().collect()
+}
+
+struct Line(std::sync::mpsc::Sender<String>);
+
+impl Write for Line {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        self.0.send(String::from_utf8_lossy(line).trim().to_owned()).unwrap();
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Hundreds of processes refused all that they got for seconds on end, and none said so.
+#[test]
+fn a_process_that_serves_nobody_says_so_once_and_when_it_is_over() {
+    let (figures, began) = (figures(), Instant::now());
+    let refuse = |ms: u64, reason| figures.refused_undialled(reason, began + Duration::from_millis(ms));
+    let dial = |ms: u64| figures.dialled(began + Duration::from_millis(ms));
+    // A dial in between, too few, too short a time, or a pause in which nothing came: none of these.
+    let lines = logged(|| {
+        (0..5).for_each(|n| refuse(n * 900, Reason::Refused));
+        dial(4000);
+        (0..9).for_each(|n| refuse(5000 + n * 500, Reason::Refused));
+        dial(9500);
+        (0..50).for_each(|n| refuse(10_000 + n * 79, Reason::Refused));
+        refuse(18_000, Reason::Refused);
+    });
+    assert_eq!((refusals(&figures), lines.len()), ((65, 0), 0), "{lines:?}");
+    // Nothing but refusals, and once it has been said also after a pause.
+    figures.servers(9, 4);
+    let lines = logged(|| {
+        (1..=20).for_each(|n| refuse(18_000 + n * 400, Reason::Refused));
+        refuse(40_000, Reason::NoRoom);
+        dial(41_000);
+        dial(42_000);
+    });
+    assert_eq!(refusals(&figures), (86, 1));
+    let why = "the servers that may be dialled are full or cold, or dials are held back";
+    assert_eq!(
+        lines,
+        [
+            format!(
+                r#"WARN larklink_proxy::figures: refuses all that comes reason=refused why="{why}" sessions=11 ms=4000"#
+            ),
+            "INFO larklink_proxy::figures: no longer refuses all that comes sessions=22 ms=23000".to_owned(),
+        ]
+    );
+    // The reason goes by what is seen then.
+    for (known, skipped, reason, why) in [
+        (0, 0, Reason::Refused, "the list has no servers"),
+        (9, 9, Reason::Refused, "each server drains, is silent or fails"),
+        (9, 9, Reason::NoRoom, "no descriptors are left"),
+        (9, 9, Reason::Stopped, "the proxy stops"),
+    ] {
+        figures.servers(known, skipped);
+        let lines = logged(|| (0..20).for_each(|n| refuse(50_000 + n * 400, reason)));
+        assert!(lines.len() == 1 && lines[0].contains(why), "{lines:?}");
+        dial(60_000);
+    }
+    assert_eq!(refusals(&figures), (166, 5));
+}
+
 #[test]
 fn the_environment_names_the_door_before_the_file() {
     let config = |console| {
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -323,6 +323,27 @@
     assert_eq!(connections(&deaf.listen()), [""; 0]);
 }
 
+/// Which refusals came without a dial, for the figure that tells of processes that serve nobody.
+#[test]
+fn sessions_that_were_refused_without_a_dial_are_counted() {
+    const NAME: &str = "larklink_sessions_refused_without_dial_total";
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let mut client = Peer::connect(proxy.address, &open("c=pay,d=2000"));
+    for _ in 0..2 {
+        let mut server = Peer::accept(&listener);
+        server.hear();
+        server.say("BUSY\r\n");
+    }
+    assert!(client.hear().starts_with("BUSY "));
+    assert_eq!(figure(&proxy, NAME), 0);
+    let proxy = quiet(&[]);
+    for n in 1..4 {
+        assert!(Peer::connect(proxy.address, &open("c=pay,d=2000")).hear().starts_with("BUSY "));
+        assert_eq!(figure(&proxy, NAME), n);
+    }
+}
+
 /// Its server took nothing any more, and nobody looked: the session stood for as long as both sides did.
 #[test]
 fn a_session_whose_server_takes_no_more_lines_is_moved() {
--- a/crates/larklink-proxy/tests/stage/mod.rs
+++ b/crates/larklink-proxy/tests/stage/mod.rs
@@ -218,14 +218,18 @@
     becomes(|| figures(proxy)[..N] == want);
 }
 
-/// Waits until the last figures are these: tries, sessions in progress, servers.
+/// Waits until these are the figures behind the answers: tries, sessions in progress, servers.
 pub fn figures_end(proxy: &Proxy, want: [u32; 3]) {
     becomes(|| {
-        let all = figures(proxy);
-        all[all.len() - 4..all.len() - 1] == want
+        ["app.upstream_tries", "app.in_progress", "app.known_servers"].map(|name| figure(proxy, name)) == want
     });
 }
 
+pub fn figure(proxy: &Proxy, name: &str) -> u32 {
+    let text = proxy.figures.text();
+    text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok()).unwrap()
+}
+
 fn figures(proxy: &Proxy) -> Vec<u32> {
     let figure = |line: &str| line.rsplit_once('=').unwrap().1.parse().unwrap();
     proxy.figures.text().lines().map(figure).collect()
