A client that reads nothing and has no line out lets its server go after 5 s

Cause: clients.rs, Pipe::overdue looks at a client that takes nothing only while a line of its is out; Pipe::pass waited for its socket without end, and with it the server, its connection and two descriptors, also after the server had said its last.

Change: a write that makes no progress for 5 s ends the session as client_stuck; with a line out it is 1.5 s as before. It may hurt a client that stalls for that long with all buffers full and says nothing meanwhile.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -46,6 +46,9 @@
 /// A connection on which a line has brought nothing back for this long is silent: a sound one brings one back at
 /// once. The 7 s that are allowed count from the last that came, seconds before the line that shows it.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// A client that has no line out and takes nothing of what waits for it: sound ones say something every 2 s, which brings
+/// it under [`SILENCE`], so this one has left out two lines and reads none.
+const UNREAD: Duration = Duration::from_secs(5);
 /// A connection from before the start is tried again after so long, up to so long.
 const STAND_AGAIN: Duration = Duration::from_millis(250);
 const STAND: Duration = Duration::from_secs(40);
@@ -600,8 +603,8 @@
             let n = inbox.lines();
             if n > 0 {
                 let now = Instant::now();
-                if self.pass(&inbox.bytes()[..n]).await.is_err() {
-                    return (Reason::ClientReset, None);
+                if let Err(reason) = self.pass(&inbox.bytes()[..n]).await {
+                    return (reason, None);
                 }
                 for line in inbox.bytes()[..n].split_inclusive(|&b| b == b'\n') {
                     last = self.read_line(line, now).await;
@@ -622,8 +625,8 @@
             if matches!(ended, Ok(n) if n > 0) {
                 continue;
             }
-            if self.pass(inbox.bytes()).await.is_err() {
-                return (Reason::ClientReset, None);
+            if let Err(reason) = self.pass(inbox.bytes()).await {
+                return (reason, None);
             }
             let reason = match (ended, last) {
                 (_, Some(Outcome::Accepted)) => Reason::ServerEnded,
@@ -635,7 +638,8 @@
         }
     }
 
-    async fn pass(&self, bytes: &[u8]) -> std::io::Result<()> {
+    /// Writes to the client; or says how it ended.
+    async fn pass(&self, bytes: &[u8]) -> Result<(), Reason> {
         let mut bytes = &bytes[self.passed.get().min(bytes.len())..];
         if bytes.is_empty() {
             return Ok(());
@@ -648,12 +652,15 @@
                 passed(n);
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(e) => return Err(e),
+            Err(_) => return Err(Reason::ClientReset),
         }
         let mut to_client = self.to_client;
         while !bytes.is_empty() {
             self.writing.set(Some(Instant::now()));
-            let n = to_client.write(bytes).await?;
+            let n = within(UNREAD, to_client.write(bytes)).await.map_err(|e| match e.kind() {
+                ErrorKind::TimedOut => Reason::ClientStuck,
+                _ => Reason::ClientReset,
+            })?;
             bytes = &bytes[n..];
             passed(n);
             self.kept.set(Some(Instant::now()));
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -15,7 +15,7 @@
 use larklink_proxy::figures::Figures;
 
 mod stage;
-use stage::peer::{Peer, open};
+use stage::peer::{PATIENCE, Peer, open};
 use stage::*;
 
 /// Connecting may take longer than the grace of a drain or the window of a reference.
@@ -395,3 +395,20 @@
     let again: Vec<_> = (0..400).map(|_| standing(proxy.address, &listener)).collect();
     drop(again);
 }
+
+/// It was looked at only while a line of its was out: without one it held its server's connection for ever.
+#[test]
+fn a_client_that_reads_nothing_and_says_nothing_lets_its_server_go() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let (client, mut server) = standing(proxy.address, &listener);
+    let (tell, gone) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        // Far more than all buffers between hold.
+        let lines = "a line of the server's own\r\n".repeat(2000);
+        while server.0.get_mut().write_all(lines.as_bytes()).is_ok() {}
+        tell.send(())
+    });
+    gone.recv_timeout(2 * PATIENCE).expect("its server is held");
+    drop(client);
+}
