A session that its server has ended is not told to move while the server is slow to close

Seen: on a busy machine (load 14 on 8 cores) ten_replacements_lose_no_connection_and_break_no_session failed once, in three clients at once: MOVE after BYE. Cause: Pipe::send_away (relay.rs) said MOVE whatever the server had said; after BYE its connection may stay open for up to 0.5 s, in which a stop, an order to move or an overdue line told the client to come again for what was done.

Change: no MOVE once the last word is on its way to the client; the wait for the server's end is bounded as before.

--- a/crates/larklink-proxy/src/relay.rs
+++ b/crates/larklink-proxy/src/relay.rs
@@ -61,6 +61,8 @@
     told: Cell<Option<Instant>>,
     /// Bytes from the server that are with the client and still in the inbox.
     passed: Cell<usize>,
+    /// The server's last word is with its client, or on its way there.
+    served: Cell<bool>,
     /// The server has said its last.
     ending: Cell<bool>,
     /// The load that was last told.
@@ -92,6 +94,7 @@
             sent: VecDeque::from(vec![Instant::now(); at.unanswered.min(TIMED)]).into(),
             told: Cell::default(),
             passed: Cell::default(),
+            served: Cell::default(),
             ending: Cell::default(),
             load: Cell::new(at.load),
             alone: Cell::default(),
@@ -178,6 +181,8 @@
             let n = inbox.lines();
             if n > 0 {
                 let now = Instant::now();
+                let line = inbox.bytes()[..n].split_inclusive(|&b| b == b'\n').next_back();
+                self.served.set(line.is_some_and(|line| matches!(word(line).0, Reply::Bye | Reply::Move)));
                 if let Err(reason) = self.pass(&inbox.bytes()[..n]).await {
                     return (reason, None);
                 }
@@ -334,6 +339,10 @@
             }
             Timer::after(STUCK / 100).await;
         }
+        if self.served.get() {
+            // It is over: who is told to move after that comes again, and is served twice.
+            return future::pending().await;
+        }
         self.writing.set(Some(started));
         let mut to_client = self.to_client;
         match within(STUCK, to_client.write_all(b"MOVE\r\n")).await {
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -412,3 +412,18 @@
     gone.recv_timeout(2 * PATIENCE).expect("its server is held");
     drop(client);
 }
+
+/// Its server was slow to close after its last word, and the proxy stopped meanwhile: told to move after that, its client
+/// came again for what had been served to its end.
+#[test]
+fn a_session_that_was_served_to_its_end_is_not_moved() {
+    let (listener, at) = server();
+    // A stop moves all before the server is given up that does not close.
+    let proxy = start_by(&config(&[at], nobody(), "proxy", 1024).replace("300000000", "1000000"));
+    let (mut client, mut server) = standing(proxy.address, &listener);
+    server.say("BYE\r\n");
+    assert_eq!(client.hear(), "BYE\r\n");
+    drop(proxy.stop);
+    client.ends();
+    drop(server);
+}
