--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -2,11 +2,20 @@
 //! releases, so that the bad order happens every time. `docs/design/endings.md` has the list.
 use std::io::Write;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use async_executor::LocalExecutor;
+use futures_lite::future;
+use larklink::types::Session;
+use larklink_proxy::config::Config;
+use larklink_proxy::decisions::Owner;
+use larklink_proxy::events::{self, Event};
+use larklink_proxy::figures::Figures;
+
 mod stage;
-use stage::peer::{Peer, open};
+use stage::peer::{PATIENCE, Peer, open};
 use stage::*;
 
 /// Connecting may take longer than the grace of a drain or the window of a reference.
@@ -62,22 +71,94 @@
 }
 
 /// The end of a connection came with its first line and was looked for only after the dial: the server ran what
-/// nobody waited for.
+/// nobody waited for. Then it was looked for before the first byte, when the attempt had begun with its connection.
 #[test]
 fn a_client_that_left_with_its_first_line_is_not_sent_on() {
-    let (listener, at) = server();
-    let door = TcpListener::bind("127.0.0.1:0").unwrap();
-    for _ in 0..20 {
-        drop(Peer::connect(door.local_addr().unwrap(), &open("c=pay,d=2000")));
+    for ask in ["c=pay,d=2000", "c=pay,d=2000,at=s-0"] {
+        let (listener, at) = server();
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        for _ in 0..20 {
+            drop(Peer::connect(door.local_addr().unwrap(), &open(ask)));
+        }
+        let proxy = serve_at(door, &config(&[at], nobody(), "proxy", 1024));
+        let mut stays = Peer::connect(proxy.address, &open(ask));
+        let mut server = Peer::accept(&listener);
+        assert_eq!(server.hear().split(' ').next(), Some("OPEN"), "{ask}: connected for one that had left");
+        server.say("UP 1\r\n");
+        assert_eq!(stays.hear(), "UP 1\r\n");
+        // One try, and only one accepted.
+        figures_become(&proxy, [0, 0, 0, 1, 0, 0, 1, 1, 1]);
+        assert_eq!(connections(&listener), [""; 0], "{ask}");
     }
-    let proxy = serve_at(door, &config(&[at], nobody(), "proxy", 1024));
-    let mut stays = Peer::connect(proxy.address, &open("c=pay,d=2000"));
-    let mut server = std::iter::repeat_with(|| Peer::accept(&listener));
-    let mut server = server.find_map(|mut s| Some(s.hear()).filter(|l| !l.is_empty()).map(|_| s)).unwrap();
-    server.say("UP 1\r\n");
-    assert_eq!(stays.hear(), "UP 1\r\n");
-    // One try, and only one accepted.
-    figures_become(&proxy, [0, 0, 0, 1, 0, 0, 1, 1, 1]);
+}
+
+/// Its end was in the kernel when the word came to dial again, and the reactor had not told of it yet.
+#[test]
+fn a_client_that_leaves_between_two_dials_gets_no_other() {
+    let (listener, at) = server();
+    let mut proxy = quiet(&[at, at]);
+    let client = Peer::connect(proxy.address, &open("c=pay,d=2000"));
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    proxy.hold.stop();
+    server.say("BUSY\r\n");
+    proxy.hold.step();
+    client.leaves();
+    proxy.hold.go();
+    figures_end(&proxy, [1, 0, 2]);
+    assert_eq!(connections(&listener), [""; 0]);
+}
+
+/// The same for one that waits until a server has been asked what it bears.
+#[test]
+fn a_client_that_leaves_as_its_probe_comes_back_is_not_sent_on() {
+    let (listener, at) = server();
+    // However long the probe takes, it finds no crowd.
+    let config = config(&[at], nobody(), "proxy", 1024);
+    let config = config.replace(r#""mode":"proxy""#, r#""mode":"proxy","message_aim_ns":[60000000000]"#);
+    let mut proxy = start_by(&config.replace(r#""send_cap""#, r#""probing":true,"send_cap""#));
+    let client = Peer::connect(proxy.address, &open("c=pay,d=5000"));
+    let mut probe = Peer::accept(&listener);
+    assert_eq!(probe.hear(), "PING\r\n");
+    figures_end(&proxy, [0, 1, 1]);
+    proxy.hold.stop();
+    probe.say("PONG\r\n");
+    proxy.hold.step();
+    client.leaves();
+    proxy.hold.go();
+    figures_end(&proxy, [0, 0, 1]);
+    assert_eq!(connections(&listener), [""; 0]);
+}
+
+/// Connections that come up and clients that leave were looked at only when a whole queue had been decided.
+#[test]
+fn others_have_their_turn_while_many_wait_for_the_decisions() {
+    const SESSIONS: usize = 1000;
+    let config: Config = serde_json::from_str(&config(&[nobody()], nobody(), "proxy", 1024)).unwrap();
+    let executor = Rc::new(LocalExecutor::new());
+    let (queue, events) = events::queue();
+    let figures = Figures::new(&config.settings.listeners);
+    let (fresh, _first) = async_channel::bounded(1);
+    let (settings, known) = (&config.settings, config.known.endpoints);
+    let owner = Owner::new(settings, 7, known, queue.clone(), Rc::clone(&executor), figures, fresh);
+    let (sender, orders) = async_channel::unbounded();
+    async_io::block_on(executor.run(async {
+        for session in 0..SESSIONS as u32 {
+            let ask = Session { patience: 20_000, ..Session::default() };
+            queue.send(Event::Open { session, came: Instant::now(), ask, orders: sender.clone() }).await;
+        }
+        executor.spawn(owner.run(events)).detach();
+        let others = executor.spawn(async move {
+            let mut turns = 0;
+            while orders.len() < SESSIONS {
+                turns += 1;
+                future::yield_now().await;
+            }
+            turns
+        });
+        let turns = others.await;
+        assert!(turns >= SESSIONS / 100, "{turns} turns");
+    }));
 }
 
 /// With as much said as is held for a session, its client's end was not looked for any more.
@@ -201,6 +282,68 @@
     proxy.thread.join().unwrap();
 }
 
+/// Cut off after half its first line: the rest met a connection that had been shut with no answer.
+#[test]
+fn a_request_in_pieces_at_a_stop_is_answered() {
+    let (listener, at) = server();
+    let longer = config(&[at], nobody(), "proxy", 1024).replace("300000000", "2000000000");
+    let proxy = start_by(&longer);
+    let mut rests = Peer::connect(proxy.address, "PING\r\n");
+    assert_eq!(rests.hear(), "PONG\r\n");
+    let head = open("c=chat,d=2000");
+    let (first, rest) = head.split_at(12);
+    let mut whole = Peer::connect(proxy.address, first);
+    let mut half = Peer::connect(proxy.address, &format!("PING\r\n{first}"));
+    assert_eq!(half.hear(), "PONG\r\n");
+    drop(proxy.stop);
+    // Who has said nothing more ends with the listener.
+    rests.ends();
+    whole.say(rest);
+    let mut server = Peer::accept(&listener);
+    server.hear();
+    server.say("UP 1\r\n");
+    assert_eq!(whole.hear(), "UP 1\r\n");
+    assert_eq!(half.hear(), "BUSY\r\n");
+    proxy.thread.join().unwrap();
+}
+
+/// One that stood before the start waited for its server for up to 40 s, whatever became of the process meanwhile; and
+/// one that left was counted as failed.
+#[test]
+fn a_connection_of_before_has_an_answer_when_the_proxy_stops() {
+    let (deaf, at) = Deaf::new();
+    let proxy = quiet(&[at]);
+    let mut waits = Peer::connect(proxy.address, &open("c=chat,d=2000,at=s-0"));
+    drop(Peer::connect(proxy.address, &open("c=pay,d=2000,at=s-0")));
+    deaf.is_knocked_at();
+    figures_become(&proxy, [0, 0, 0, 0, 0, 0, 0, 1]);
+    drop(proxy.stop);
+    assert_eq!(waits.hear(), "ERR\r\n");
+    proxy.thread.join().unwrap();
+    assert_eq!(connections(&deaf.listen()), [""; 0]);
+}
+
+/// Which refusals came without a dial, for the figure that tells of processes that serve nobody.
+#[test]
+fn sessions_that_were_refused_without_a_dial_are_counted() {
+    const NAME: &str = "larklink_sessions_refused_without_dial_total";
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let mut client = Peer::connect(proxy.address, &open("c=pay,d=2000"));
+    for _ in 0..2 {
+        let mut server = Peer::accept(&listener);
+        server.hear();
+        server.say("BUSY\r\n");
+    }
+    assert!(client.hear().starts_with("BUSY "));
+    assert_eq!(figure(&proxy, NAME), 0);
+    let proxy = quiet(&[]);
+    for n in 1..4 {
+        assert!(Peer::connect(proxy.address, &open("c=pay,d=2000")).hear().starts_with("BUSY "));
+        assert_eq!(figure(&proxy, NAME), n);
+    }
+}
+
 /// Its server took nothing any more, and nobody looked: the session stood for as long as both sides did.
 #[test]
 fn a_session_whose_server_takes_no_more_lines_is_moved() {
@@ -252,3 +395,35 @@
     let again: Vec<_> = (0..400).map(|_| standing(proxy.address, &listener)).collect();
     drop(again);
 }
+
+/// It was looked at only while a line of its was out: without one it held its server's connection for ever.
+#[test]
+fn a_client_that_reads_nothing_and_says_nothing_lets_its_server_go() {
+    let (listener, at) = server();
+    let proxy = quiet(&[at]);
+    let (client, mut server) = standing(proxy.address, &listener);
+    let (tell, gone) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        // Far more than all buffers between hold.
+        let lines = "a line of the server's own\r\n".repeat(2000);
+        while server.0.get_mut().write_all(lines.as_bytes()).is_ok() {}
+        tell.send(())
+    });
+    gone.recv_timeout(2 * PATIENCE).expect("its server is held");
+    drop(client);
+}
+
+/// Its server was slow to close after its last word, and the proxy stopped meanwhile: told to move after that, its client
+/// came again for what had been served to its end.
+#[test]
+fn a_session_that_was_served_to_its_end_is_not_moved() {
+    let (listener, at) = server();
+    // A stop moves all before the server is given up that does not close.
+    let proxy = start_by(&config(&[at], nobody(), "proxy", 1024).replace("300000000", "1000000"));
+    let (mut client, mut server) = standing(proxy.address, &listener);
+    server.say("BYE\r\n");
+    assert_eq!(client.hear(), "BYE\r\n");
+    drop(proxy.stop);
+    client.ends();
+    drop(server);
+}
