Descriptors: what is set aside grows with the list, and none is used twice

Cause: proxy.rs computed the part of probes once, from the first list, and held it with all else to a quarter of the limit (RESERVED_PART), so that a list that came later had nothing set aside: kept probe connections went over the limit while clients filled it. Probes took descriptors without counting them, were kept for servers that a whole list no longer names, and two under way to one server were kept. Who gave way still held his descriptor when the next dial went out, and at a stop the whole queue was taken at once; one whose answer could not be written did not give way; one that lingered after a session counted two.

Change: the room counts probes, too. What the listener, discovery, the log, one handover and the operators' address need is set aside whole unless the limit is under twice that, and one for each listed server that may be asked, up to a third of the limit with the former; idle ones give way as it grows, sessions stay, and probes share what there is: the connection that rested longest goes, or they wait. A taken connection or a dial waits until who gives way has closed.

The tests of the room are of what it could not do before.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -192,22 +192,26 @@
     }
 
     async fn serve(&self, client: &mut Client) -> (Option<u32>, Reason) {
-        let give_way = client.place.must_go();
-        let give_way = async {
-            give_way.await;
-            Err(Reason::NoRoom)
+        let give_way = |place: &Place| {
+            let must_go = place.must_go();
+            async move {
+                must_go.await;
+                Err(Reason::NoRoom)
+            }
         };
+        let way = give_way(&client.place);
         let closed = async {
             let _ = self.closed.recv().await;
             Timer::after(LAST).await;
             Err(Reason::Stopped)
         };
-        let mut line = first_line(client).or(give_way).or(closed).await;
+        let mut line = first_line(client).or(way).or(closed).await;
         // A line that has come by now is answered like any other: nobody is there to send it again.
         if matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled))
             && client.link.has_line()
         {
-            line = first_line(client).await;
+            let way = give_way(&client.place);
+            line = first_line(client).or(way).await;
         }
         let line = match line {
             Ok(line) => line,
@@ -274,6 +278,7 @@
                 // Only the first needs another descriptor: nothing has run.
                 Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
                 Ok(Order::Dial { dial: number, server, address, until, by }) => {
+                    self.room.settled().await;
                     let wait = until.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let permit = Permit { dial: number, by: by.into(), until, sent: false.into() };
@@ -397,6 +402,7 @@
         let (until, listener) = (Instant::now() + STAND, ask.listener);
         self.queue.send(Event::Stands { session, server, orders: sender }).await;
         let room = client.place.second();
+        self.room.settled().await;
         let Link { stream, inbox } = &mut client.link;
         let stream = &*stream;
         let work = async {
@@ -821,12 +827,15 @@
 }
 
 /// The final answer, and the end of the connection.
-async fn answer(client: &Client, line: &str) {
+async fn answer(client: &mut Client, line: &str) {
     client.place.spoke();
     let mut stream = &client.link.stream;
-    if within(STUCK, stream.write_all(line.as_bytes())).await.is_ok() {
-        close(&client.link).or(client.place.must_go()).await;
-    }
+    let answered = async {
+        if within(STUCK, stream.write_all(line.as_bytes())).await.is_ok() {
+            close(&client.link).await;
+        }
+    };
+    answered.or(client.place.must_go()).await;
 }
 
 /// Ends a connection in good order: no more from us, then what the other side has on its way.
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -14,9 +14,9 @@
 use larklink_core::core::{Action, Core};
 use larklink_core::settings::Facts;
 
-use crate::clock::{Clock, span, tenths};
+use crate::clock::{Clock, tenths};
 use crate::delays::Delays;
-use crate::events::{Event, Order, Queue, WAITING};
+use crate::events::{Event, Order, WAITING};
 use crate::figures::Figures;
 use crate::list::{Endpoint, server_id};
 use crate::probes::Probes;
@@ -43,14 +43,12 @@
         facts: &Facts,
         seed: u64,
         known: Vec<Endpoint>,
-        queue: Queue,
+        probes: Rc<Probes>,
         executor: Rc<LocalExecutor<'static>>,
         figures: Arc<Figures>,
         fresh: Sender<Infallible>,
     ) -> Self {
         let clock = Clock::start();
-        let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
-        let connect_timeout = span(facts.settings.connect_timeout);
         let mut owner = Self {
             core: Core::new(facts, seed, clock.now()),
             clock,
@@ -59,7 +57,7 @@
             addresses: HashMap::new(),
             listed: BTreeMap::new(),
             orders: HashMap::new(),
-            probes: Rc::new(Probes::new(names, connect_timeout, queue)),
+            probes,
             executor,
             figures,
             fresh: Some(fresh),
@@ -150,13 +148,13 @@
                 Err(_) => {}
             }
             if e.status == "removed" {
-                self.probes.forget(id);
                 self.listed.remove(&id);
             } else {
                 self.listed.insert(id, e.clone());
             }
             tracing::info!("server {} {} is {:08x}, since {}", e.name, e.status, id, e.since_ms);
         }
+        self.probes.listed(&self.listed);
         self.core.heard_list(now, scope, endpoints.iter().map(|e| e.entry(&self.zones)).collect());
     }
 
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -81,8 +81,6 @@
 pub struct Handover {
     pub place: PathBuf,
     pub room: Rc<Room>,
-    /// Descriptors that each process holds beside its room's.
-    pub reserved: usize,
     pub queue: Queue,
     /// Whether this process takes connections; each change is told here.
     pub taking: Sender<bool>,
@@ -202,7 +200,7 @@
 
     async fn serve(&self, stream: Async<UnixStream>) {
         // The new one holds descriptors from its start on.
-        self.room.leave_to(self.reserved);
+        self.room.leave_to(self.room.reserved());
         let (mut ear, mouth) = talk(stream);
         if let Err(e) = self.converse(&mut ear, &mouth).await {
             tracing::info!("the new process is gone: {e}");
@@ -251,7 +249,7 @@
                 let _ = self.stop.recv().await;
                 Ok(Step::Stop)
             };
-            let held = || self.reserved + self.room.held();
+            let held = || self.room.reserved() + self.room.held();
             match heard.or(stop).or(look).await? {
                 Step::Heard(Reply::Take) if self.heir.is_there() => {
                     return mouth.say(&Reply::Taken, &[]).await;
--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -1,37 +1,63 @@
-//! Probes: one kept connection to each server that was asked, for a line there and a line back.
+//! Probes: one kept connection to each server that was asked, for a line there and a line back; fewer where the
+//! descriptors that are set aside for them are fewer than the servers.
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{ErrorKind, IoSlice, Result};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use larklink::types::Outcome;
+use larklink_core::settings::Facts;
 
-use crate::clock::tenths;
+use crate::clock::{span, tenths};
 use crate::events::{Event, Queue};
 use crate::lines::{Reply, report, word};
+use crate::list::Endpoint;
+use crate::room::{Probe, Room};
 use crate::servers::{Link, connect, within, write_gathered};
 
 pub struct Probes {
     /// The names of a report's values; empty where probes tell no load.
     names: Vec<String>,
+    probing: bool,
     connect_timeout: Duration,
-    kept: RefCell<HashMap<u32, (SocketAddr, Link)>>,
+    kept: RefCell<HashMap<u32, Kept>>,
+    /// Servers that are being asked, and have not gone from the list since: one connection to each is kept.
+    asked: RefCell<HashSet<u32>>,
     queue: Queue,
+    room: Rc<Room>,
+}
+
+struct Kept {
+    address: SocketAddr,
+    link: Link,
+    descriptor: Probe,
+    since: Instant,
 }
 
 impl Probes {
-    pub fn new(names: Vec<String>, connect_timeout: Duration, queue: Queue) -> Self {
-        Self { names, connect_timeout, kept: RefCell::default(), queue }
+    pub fn new(facts: &Facts, queue: Queue, room: Rc<Room>) -> Self {
+        let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
+        let (probing, connect_timeout) = (facts.settings.probing, span(facts.settings.connect_timeout));
+        let (kept, asked) = Default::default();
+        Self { names, probing, connect_timeout, kept, asked, queue, room }
     }
 
-    /// Asks a server; the answer goes to the queue.
+    /// Asks a server; the answer goes to the queue. Its time counts from when there is a descriptor for it.
     pub async fn ask(&self, server: u32, address: SocketAddr) {
-        let started = Instant::now();
+        self.asked.borrow_mut().insert(server);
         let kept = self.kept.borrow_mut().remove(&server);
-        let mut answer = match kept {
-            Some((at, link)) if at == address => self.exchange(link).await,
-            _ => Err(Outcome::Broken),
+        let (link, descriptor) = match kept {
+            Some(Kept { address: at, link, descriptor, .. }) => {
+                (Some(link).filter(|_| at == address), descriptor)
+            }
+            None => (None, self.descriptor().await),
+        };
+        let started = Instant::now();
+        let mut answer = match link {
+            Some(link) => self.exchange(link).await,
+            None => Err(Outcome::Broken),
         };
         // A kept connection may have gone idle, or its server may have started anew: that tells nothing yet.
         if matches!(answer, Err(Outcome::Broken)) {
@@ -42,17 +68,45 @@
         }
         let (how, report) = match answer {
             Ok((how, report, link)) => {
-                self.kept.borrow_mut().insert(server, (address, link));
+                if self.asked.borrow_mut().remove(&server) {
+                    let kept = Kept { address, link, descriptor, since: started };
+                    self.kept.borrow_mut().insert(server, kept);
+                }
                 (how, report)
             }
-            Err(how) => (how, Vec::new()),
+            Err(how) => {
+                self.asked.borrow_mut().remove(&server);
+                (how, Vec::new())
+            }
         };
         self.queue.send(Event::Probed { server, how, took: tenths(started.elapsed()), report }).await;
     }
 
-    /// Closes the connection to a server that is gone.
-    pub fn forget(&self, server: u32) {
-        self.kept.borrow_mut().remove(&server);
+    /// Goes by the list as it stands: a descriptor is set aside for each server that may be asked, and connections to
+    /// those that are gone are closed, those under way once they have brought their answer. A whole list says nothing
+    /// of servers that are gone, and connections to them stayed for good.
+    pub fn listed(&self, servers: &BTreeMap<u32, Endpoint>) {
+        self.room.set_aside(if self.probing { servers.len() } else { 0 });
+        self.kept.borrow_mut().retain(|server, _| servers.contains_key(server));
+        self.asked.borrow_mut().retain(|server| servers.contains_key(server));
+    }
+
+    /// One that is free, or that of the connection that has rested longest, or the next that another probe gives back.
+    async fn descriptor(&self) -> Probe {
+        if let Some(free) = self.room.probe() {
+            return free;
+        }
+        match self.oldest() {
+            Some(kept) => kept.descriptor,
+            None => self.room.next_probe().await,
+        }
+    }
+
+    fn oldest(&self) -> Option<Kept> {
+        let mut kept = self.kept.borrow_mut();
+        let oldest = kept.iter().min_by_key(|(server, kept)| (kept.since, **server));
+        let server = oldest.map(|(&server, _)| server)?;
+        kept.remove(&server)
     }
 
     async fn exchange(&self, mut link: Link) -> std::result::Result<(Outcome, Vec<f64>, Link), Outcome> {
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -22,12 +22,12 @@
 use crate::events;
 use crate::figures::Figures;
 use crate::handover::{Handover, Old};
+use crate::probes::Probes;
 use crate::room::Room;
 
-/// Descriptors kept for the listener, discovery, logs and the event loop: so many, two for each server's
-/// probes, and at most that part of all.
+/// Descriptors kept for the listener, discovery, logs, the event loop and one handover, and for a connection that is
+/// taken while another gives way to it. Those of the operators' door are kept beside.
 const RESERVED: usize = 32;
-const RESERVED_PART: usize = 4;
 /// After a failure to accept, as with no descriptors left.
 const BREATHE: Duration = Duration::from_millis(20);
 /// New connections go on coming for so long after a stop was asked for, at most; then none is taken.
@@ -67,8 +67,7 @@
         known.clone_from(&old.list);
     }
     let door = if config.console.is_some() { console::DESCRIPTORS } else { 0 };
-    let sockets = config.limits.sockets;
-    let reserved = (RESERVED + door + 2 * known.len()).min(sockets / RESERVED_PART);
+    let room = Room::beside(RESERVED + door, config.limits.sockets);
     // Streams of their own beside the decisions', from the one seed.
     let chance = |stream| {
         let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
@@ -76,20 +75,13 @@
         rng
     };
     let (fresh, first) = async_channel::bounded(1);
-    let owner = Owner::new(
-        &facts,
-        config.seed,
-        known,
-        queue.clone(),
-        Rc::clone(&executor),
-        Arc::clone(&figures),
-        fresh,
-    );
+    let probes = Rc::new(Probes::new(&facts, queue.clone(), Rc::clone(&room)));
+    let owner =
+        Owner::new(&facts, config.seed, known, probes, Rc::clone(&executor), Arc::clone(&figures), fresh);
     executor.spawn(owner.run(events)).detach();
     let (spans, asks) = ((facts.settings.must_ask_in, facts.settings.drain_grace), facts.settings.on_request);
     let watch = discovery::follow(config.discovery, moved, spans, asks, queue.clone(), chance(1));
     executor.spawn(watch).detach();
-    let room = Room::new(sockets - reserved);
     let (open, closed) = async_channel::bounded(1);
     let front = Rc::new(Front {
         queue: queue.clone(),
@@ -112,8 +104,7 @@
     let handover = place.map(|place| {
         Rc::new(Handover {
             place,
-            room,
-            reserved,
+            room: Rc::clone(&room),
             queue,
             taking,
             stop: stop.clone(),
@@ -148,6 +139,7 @@
                 Ok(Ok((stream, _))) => {
                     admit(stream);
                     // Who gives way is to have closed before the next one comes.
+                    front.room.settled().await;
                     future::yield_now().await;
                 }
                 Ok(Err(e)) => {
@@ -210,6 +202,7 @@
     // What the kernel has taken for us counts as taken: the listener's end would reset it.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         let _ = Async::new(stream).map(admit);
+        front.room.settled().await;
     }
     tracing::info!("no more connections are taken: the proxy stops");
     drop(listener);
--- a/crates/larklink-proxy/src/room.rs
+++ b/crates/larklink-proxy/src/room.rs
@@ -1,74 +1,190 @@
-//! The descriptors of clients and their servers. A connection holds one, and a second from its first dial on.
+//! The descriptors of this process: what nobody else may take is set aside, a part for probes grows with the list,
+//! and the rest is for clients and their servers. A connection holds one, and a second from its first dial on.
 //! When none is left, a connection that holds no session gives way: first the oldest of those that have never
 //! said anything, then the oldest of the others, as probes and connections that were answered and linger.
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 
 use async_channel::{Receiver, Sender};
 
+/// What is set aside for good and for probes together is at most this part of the limit, since requests of clients may
+/// take a third of it, and their servers as much. It may hurt where the list is long and the limit small: probes share
+/// what there is then.
+const ASIDE_PART: isize = 3;
+/// A limit under twice what is set aside for good leaves less for that, but this part of it at least.
+const LEAST_PART: usize = 4;
+
 pub struct Room {
-    /// Below nothing while those that give way have not closed yet.
-    free: Cell<isize>,
+    /// For clients, their servers and probes together.
     all: isize,
+    /// Never theirs.
+    fixed: isize,
+    /// Set aside for probes, and the most that may be.
+    aside: Cell<isize>,
+    most_aside: isize,
+    clients: Cell<isize>,
+    probes: Cell<isize>,
     /// Left to the other process of this proxy, while there are two.
     others: Cell<isize>,
+    /// Of `clients`, those that were told to give way and have not closed yet.
+    leaving: Cell<isize>,
     next: Cell<u64>,
-    /// Who gives way, in this order: if they have spoken, and when they came.
+    /// Who gives way, in this order: if they have spoken, and when they came. Each holds one descriptor.
     guests: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
+    waiting: RefCell<Vec<Waker>>,
 }
 
 impl Room {
+    /// All of so many descriptors, for clients.
     pub fn new(descriptors: usize) -> Rc<Self> {
-        let all = isize::try_from(descriptors).unwrap_or(isize::MAX);
-        let others = Cell::new(0);
-        Rc::new(Self { free: Cell::new(all), all, others, next: Cell::new(0), guests: RefCell::default() })
+        Self::beside(0, descriptors)
+    }
+
+    /// What a limit leaves beside a number of descriptors that is set aside for good; a limit under twice that number
+    /// is shared with it.
+    pub fn beside(fixed: usize, limit: usize) -> Rc<Self> {
+        let fixed = fixed.min(limit.saturating_sub(fixed).max(limit / LEAST_PART));
+        let count = |n| isize::try_from(n).unwrap_or(isize::MAX);
+        Rc::new(Self {
+            all: count(limit - fixed),
+            fixed: count(fixed),
+            aside: Cell::new(0),
+            most_aside: (count(limit) / ASIDE_PART - count(fixed)).max(0),
+            clients: Cell::new(0),
+            probes: Cell::new(0),
+            others: Cell::new(0),
+            leaving: Cell::new(0),
+            next: Cell::new(0),
+            guests: RefCell::default(),
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Sets a descriptor aside for probes of each of so many servers, as far as the limit allows. Guests give way at
+    /// once where clients have them; sessions stay, and probes get theirs as sessions end.
+    pub fn set_aside(&self, servers: usize) {
+        self.aside.set(isize::try_from(servers).unwrap_or(isize::MAX).min(self.most_aside));
+        self.make_way();
+        self.wake();
+    }
+
+    /// What this process holds, or may at any time, beside its clients and their servers.
+    pub fn reserved(&self) -> usize {
+        usize::try_from(self.fixed + self.aside.get().max(self.probes.get())).unwrap_or(0)
     }
 
     /// A place for a new connection, a guest until it is [`seated`](Place::seat); none if all the others are
     /// sessions.
     pub fn enter(self: &Rc<Self>) -> Option<Place> {
         self.take()?;
-        let number = self.next.replace(self.next.get() + 1);
-        let (tell, told) = async_channel::bounded(1);
-        self.guests.borrow_mut().insert((false, number), tell.clone());
-        Some(Place { room: Rc::clone(self), number, held: 1, tell, told })
+        let place = self.place(1);
+        self.guests.borrow_mut().insert((false, place.number), place.tell.clone());
+        Some(place)
     }
 
-    /// Descriptors that are held here.
+    /// Descriptors that clients and their servers hold here.
     pub fn held(&self) -> usize {
-        usize::try_from(self.all - self.free.get() - self.others.get()).unwrap_or(0)
+        usize::try_from(self.clients.get()).unwrap_or(0)
     }
 
     /// The other process of this proxy holds so many of them now. Guests give way where they are too few then;
     /// sessions stay, and none comes in until there is room.
     pub fn leave_to(&self, others: usize) {
-        let others = isize::try_from(others).unwrap_or(isize::MAX).min(self.all);
-        let more = others - self.others.replace(others);
-        self.free.set(self.free.get() - more);
-        for _ in 0..more.min(-self.free.get()) {
-            let Some((_, guest)) = self.guests.borrow_mut().pop_first() else { break };
-            let _ = guest.try_send(());
-        }
+        self.others.set(isize::try_from(others).unwrap_or(isize::MAX).min(self.all));
+        self.make_way();
+        self.wake();
     }
 
     /// The place of a session that the other process held; it comes even where there is no room left, as that one
     /// gives its own up.
     pub fn inherit(self: &Rc<Self>) -> Place {
-        self.free.set(self.free.get() - 2);
-        let (tell, told) = async_channel::bounded(1);
-        let number = self.next.replace(self.next.get() + 1);
-        Place { room: Rc::clone(self), number, held: 2, tell, told }
+        self.clients.set(self.clients.get() + 2);
+        self.place(2)
+    }
+
+    /// Resolves once those that were told to give way have closed, as far as their descriptors are in use again:
+    /// until then the process would hold more than it may.
+    pub async fn settled(&self) {
+        poll_fn(|cx| match self.free() < 0 && self.leaving.get() > 0 {
+            true => self.wait(cx.waker()),
+            false => Poll::Ready(()),
+        })
+        .await;
+    }
+
+    /// A descriptor for a probe, of those set aside; none while they, or all, are in use. One probe has one whatever
+    /// others hold.
+    pub fn probe(self: &Rc<Self>) -> Option<Probe> {
+        let probes = self.probes.get();
+        let taken = probes + self.clients.get() + self.others.get();
+        if probes > 0 && (probes >= self.aside.get() || taken >= self.all) {
+            return None;
+        }
+        self.probes.set(probes + 1);
+        Some(Probe(Rc::clone(self)))
+    }
+
+    /// The same, once there is one.
+    pub async fn next_probe(self: &Rc<Self>) -> Probe {
+        poll_fn(|cx| match self.probe() {
+            Some(probe) => Poll::Ready(probe),
+            None => self.wait(cx.waker()),
+        })
+        .await
+    }
+
+    /// Below nothing while those that give way have not closed yet, and where what is set aside has grown into what
+    /// sessions hold.
+    fn free(&self) -> isize {
+        self.all - self.others.get() - self.aside.get().max(self.probes.get()) - self.clients.get()
     }
 
     fn take(&self) -> Option<()> {
-        if self.free.get() <= 0 {
-            let (_, guest) = self.guests.borrow_mut().pop_first()?;
-            let _ = guest.try_send(());
+        while self.free() + self.leaving.get() <= 0 {
+            self.evict()?;
         }
-        self.free.set(self.free.get() - 1);
+        self.clients.set(self.clients.get() + 1);
         Some(())
     }
+
+    fn make_way(&self) {
+        while self.free() + self.leaving.get() < 0 && self.evict().is_some() {}
+    }
+
+    fn evict(&self) -> Option<()> {
+        let (_, guest) = self.guests.borrow_mut().pop_first()?;
+        self.leaving.set(self.leaving.get() + 1);
+        guest.close();
+        Some(())
+    }
+
+    fn place(self: &Rc<Self>, held: isize) -> Place {
+        let number = self.next.replace(self.next.get() + 1);
+        let (tell, told) = async_channel::bounded(1);
+        Place { room: Rc::clone(self), number, held, tell, told }
+    }
+
+    fn wait<T>(&self, waker: &Waker) -> Poll<T> {
+        self.waiting.borrow_mut().push(waker.clone());
+        Poll::Pending
+    }
+
+    fn wake(&self) {
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+}
+
+/// A probe's descriptor, given back when this is dropped.
+pub struct Probe(Rc<Room>);
+
+impl Drop for Probe {
+    fn drop(&mut self) {
+        self.0.probes.set(self.0.probes.get() - 1);
+        self.0.wake();
+    }
 }
 
 /// A connection's descriptors, given back when this is dropped.
@@ -76,6 +192,7 @@
     room: Rc<Room>,
     number: u64,
     held: isize,
+    /// Closed when this guest is to give way.
     tell: Sender<()>,
     told: Receiver<()>,
 }
@@ -89,10 +206,12 @@
         }
     }
 
-    /// A guest that has spoken stays longer than one that has not; so does one whose session is over.
-    pub fn spoke(&self) {
+    /// A guest that has spoken stays longer than one that has not; so does one whose session is over, which has its
+    /// own connection only.
+    pub fn spoke(&mut self) {
         self.leave();
-        if self.told.is_empty() {
+        self.give_back(self.held - 1);
+        if !self.told.is_closed() {
             self.room.guests.borrow_mut().insert((true, self.number), self.tell.clone());
         }
     }
@@ -100,7 +219,7 @@
     /// It holds a session from now on and need not give way, if it was not told to before.
     pub fn seat(&self) -> bool {
         self.leave();
-        self.told.is_empty()
+        !self.told.is_closed()
     }
 
     fn leave(&self) {
@@ -109,18 +228,28 @@
         guests.remove(&(true, self.number));
     }
 
-    /// Makes sure of a second descriptor, for a dial.
+    /// Makes sure of a second descriptor, for a dial; it is there to be had once the room is
+    /// [`settled`](Room::settled).
     pub fn second(&mut self) -> bool {
         if self.held < 2 && self.room.take().is_some() {
             self.held = 2;
         }
         self.held == 2
     }
+
+    fn give_back(&mut self, descriptors: isize) {
+        self.held -= descriptors;
+        self.room.clients.set(self.room.clients.get() - descriptors);
+        self.room.wake();
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         self.leave();
-        self.room.free.set(self.room.free.get() + self.held);
+        if self.told.is_closed() {
+            self.room.leaving.set(self.room.leaving.get() - 1);
+        }
+        self.give_back(self.held);
     }
 }
--- /dev/null
+++ b/crates/larklink-proxy/tests/descriptors.rs
@@ -0,0 +1,239 @@
+//! The limit of descriptors: who may hold them, who gives way, and what is set aside whatever clients do.
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use futures_lite::future::{block_on, poll_once};
+use larklink_proxy::room::Room;
+
+mod stage;
+use stage::peer::{PATIENCE, Peer, open};
+use stage::*;
+
+/// The part of probes was computed once, from the first list.
+#[test]
+fn what_is_set_aside_grows_with_the_list_and_idle_ones_give_way_for_it() {
+    let room = Room::beside(10, 100);
+    let mut session = room.enter().unwrap();
+    assert!(session.seat() && session.second());
+    let mut idle: Vec<_> = (0..88).map(|_| room.enter().unwrap()).collect();
+    assert_eq!((room.held(), room.reserved()), (90, 10));
+    // One probe goes through whatever clients hold, on what is kept for good.
+    let mut probes = vec![room.probe().unwrap()];
+    assert!(room.probe().is_none());
+    let mut told = 0;
+    for servers in [1, 8, 16, 1024] {
+        room.set_aside(servers);
+        // A third of the limit at most, with what is kept for good.
+        let part = servers.min(33 - 10);
+        assert_eq!(room.reserved(), 10 + part);
+        let gone = idle.iter().filter(|guest| block_on(poll_once(guest.must_go())).is_some()).count();
+        assert_eq!(told + gone, part, "as many as were set aside, the oldest");
+        assert!(room.probe().is_none(), "they hold theirs until they have closed");
+        idle.drain(..gone).for_each(drop);
+        told += gone;
+        probes.extend(std::iter::from_fn(|| room.probe()));
+        assert_eq!((probes.len(), room.held()), (part, 90 - part));
+    }
+    drop(probes);
+    // A newcomer does not take what is set aside: the oldest gives way to it, the session never.
+    let newcomer = room.enter().unwrap();
+    assert!(block_on(poll_once(idle[0].must_go())).is_some());
+    assert!(block_on(poll_once(room.settled())).is_none(), "the oldest has not closed yet");
+    idle.remove(0);
+    assert!(block_on(poll_once(room.settled())).is_some());
+    assert!(block_on(poll_once(session.must_go())).is_none());
+    // With a shorter list clients have it again.
+    room.set_aside(0);
+    idle.extend((0..23).map(|_| room.enter().unwrap()));
+    assert_eq!(room.held(), 90);
+    assert!(idle.iter().all(|guest| block_on(poll_once(guest.must_go())).is_none()));
+    drop(newcomer);
+}
+
+/// Each counted two until it had closed.
+#[test]
+fn who_lingers_after_its_session_holds_one_and_gives_way_before_sessions() {
+    let room = Room::new(4);
+    let mut over = room.enter().unwrap();
+    assert!(over.seat() && over.second());
+    over.spoke();
+    assert_eq!(room.held(), 1);
+    let mut session = room.enter().unwrap();
+    assert!(session.seat() && session.second());
+    let guest = room.enter().unwrap();
+    let newcomer = room.enter().unwrap();
+    assert!(block_on(poll_once(guest.must_go())).is_some() && !guest.seat());
+    drop(guest);
+    assert!(newcomer.seat());
+    let last = room.enter().unwrap();
+    assert!(block_on(poll_once(over.must_go())).is_some());
+    drop(over);
+    assert!(last.seat() && room.enter().is_none());
+}
+
+#[test]
+fn probes_share_what_there_is() {
+    let room = Room::beside(4, 30);
+    room.set_aside(1024);
+    let mut probes: Vec<_> = std::iter::from_fn(|| room.probe()).collect();
+    assert_eq!(probes.len(), 30 / 3 - 4);
+    let mut next = Box::pin(room.next_probe());
+    assert!(block_on(poll_once(&mut next)).is_none());
+    probes.pop();
+    assert!(block_on(poll_once(&mut next)).is_some());
+    // Sessions that stand where a list has grown go before: probes get theirs as sessions end.
+    let room = Room::beside(4, 30);
+    let mut sessions: Vec<_> = (0..26).map(|_| room.enter().filter(|place| place.seat()).unwrap()).collect();
+    room.set_aside(1024);
+    assert!(room.enter().is_none());
+    let first = room.probe();
+    assert!(first.is_some() && room.probe().is_none());
+    sessions.truncate(23);
+    let few: Vec<_> = std::iter::from_fn(|| room.probe()).collect();
+    assert_eq!(few.len(), 2);
+}
+
+/// The program itself with so few descriptors, and somebody who counts those that it has open all the time.
+struct Program {
+    child: Child,
+    address: SocketAddr,
+    ends: Arc<AtomicBool>,
+    counter: Option<JoinHandle<usize>>,
+}
+
+impl Program {
+    fn start(agent: SocketAddr, limit: usize) -> Self {
+        let path = std::env::temp_dir().join(format!("larklink-few-{}-{limit}.json", std::process::id()));
+        // Servers are asked before their first session, and nobody takes them for crowded by a slow answer.
+        let config = config(&[], agent, "proxy", limit)
+            .replace(r#""send_cap""#, r#""probing":true,"send_cap""#)
+            .replace(r#""domain":{"#, r#""domain":{"message_aim_ns":[20000000000],"#);
+        std::fs::write(&path, config).unwrap();
+        let program = Command::new(env!("CARGO_BIN_EXE_larklink")).arg(&path).stderr(Stdio::piped()).spawn();
+        let mut child = program.unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let started = log.find_map(|l| l.split_once("listen=").map(|(_, at)| at.parse().unwrap()));
+        std::fs::remove_file(&path).unwrap();
+        thread::spawn(move || log.for_each(drop));
+        let (folder, ends) = (format!("/proc/{}/fd", child.id()), Arc::new(AtomicBool::new(false)));
+        let done = Arc::clone(&ends);
+        let counter = thread::spawn(move || {
+            let mut most = 0;
+            while !done.load(Relaxed) {
+                most = most.max(std::fs::read_dir(&folder).unwrap().count());
+            }
+            most
+        });
+        Self { child, address: started.unwrap(), ends, counter: Some(counter) }
+    }
+
+    /// The most that it has had open.
+    fn most(&mut self) -> usize {
+        self.ends.store(true, Relaxed);
+        self.counter.take().unwrap().join().unwrap()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.ends.store(true, Relaxed);
+        let _ = self.child.kill().and_then(|()| self.child.wait());
+    }
+}
+
+/// Servers that all listen here: probes are answered and counted, sessions stand.
+fn servers() -> (SocketAddr, Arc<AtomicUsize>) {
+    let (listener, at) = server();
+    socket2::SockRef::from(&listener).set_read_timeout(None).unwrap();
+    let probes = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&probes);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let counted = Arc::clone(&counted);
+            thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().unwrap());
+                let mut line = String::new();
+                while from.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let answer: &[u8] = match line.split(' ').next().unwrap_or("") {
+                        "OPEN" => b"UP 1\r\n",
+                        _ => b"PONG\r\n",
+                    };
+                    if std::io::Write::write_all(&mut &stream, answer).is_err() {
+                        break;
+                    }
+                    counted.fetch_add(usize::from(answer == b"PONG\r\n"), Relaxed);
+                    line.clear();
+                }
+            });
+        }
+    });
+    (at, probes)
+}
+
+/// Clients that say nothing: so many at once, and another for each that is let go, up to a number.
+fn crowd(at: SocketAddr, size: usize, all: usize) -> JoinHandle<VecDeque<TcpStream>> {
+    let mut held: VecDeque<_> = (0..size).map(|_| TcpStream::connect(at).unwrap()).collect();
+    thread::spawn(move || {
+        for _ in size..all {
+            let mut oldest = held.pop_front().unwrap();
+            let _ = oldest.read_to_end(&mut Vec::new());
+            let Ok(next) = TcpStream::connect(at) else { break };
+            held.push_back(next);
+        }
+        held
+    })
+}
+
+/// Discovery is down when the proxy starts and a crowd comes; then it returns with one list after another. Each time the
+/// list is heard, sessions stand at its servers, and the limit holds in every moment.
+fn day(limit: usize, lists: &[usize]) {
+    let (at, probes) = servers();
+    let agent = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    agent.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let mut program = Program::start(agent.local_addr().unwrap().as_socket().unwrap(), limit);
+    let proxy = program.address;
+    let crowd = crowd(proxy, limit + 50, limit + 1500);
+    // The limit is full: who came then is turned away, or another for him.
+    let mut idle = Peer::connect(proxy, "");
+    agent.listen(8).unwrap();
+    agent.set_read_timeout(Some(PATIENCE)).unwrap();
+    let (returned, agent) = (Instant::now(), TcpListener::from(agent));
+    let mut watch = Peer::accept(&agent);
+    assert_eq!(asked(&mut watch), "/api/targets");
+    assert!(returned.elapsed() < Duration::from_secs(6), "{:?}", returned.elapsed());
+    let mut held = Vec::new();
+    for (n, &servers) in lists.iter().enumerate() {
+        let names = |n: usize| endpoint(&format!("s-{n}"), at, "up");
+        let index = n as u64 + 1;
+        told(&mut watch, &list(index, true, &(0..servers).map(names).collect::<Vec<_>>()));
+        assert!(asked(&mut watch).contains(&format!("after={index}&")));
+        let before = probes.load(Relaxed);
+        for group in 0..servers.min(limit / 8) {
+            let mut client = Peer::connect(proxy, &open(&format!("c=chat,t=acme,d=9000,g={group:x}{n:x}")));
+            assert_eq!(client.hear(), "UP 1\r\n", "session {group} of list {servers}");
+            held.push(client);
+        }
+        becomes(|| probes.load(Relaxed) >= before + servers.min(limit / 8) / 2);
+    }
+    drop(idle.hear());
+    drop((held, crowd));
+    let most = program.most();
+    assert!(most <= limit, "{most} of {limit} descriptors");
+}
+
+/// What was kept for probes was a part of the limit once for all, for a list of nobody: probes went over it.
+#[test]
+fn with_idle_clients_everywhere_a_discovery_that_returns_is_heard_and_the_limit_holds() {
+    day(192, &[256]);
+}
+
+#[test]
+fn a_list_that_grows_takes_its_part_from_idle_clients() {
+    day(400, &[1, 16, 60, 1024]);
+}
