Descriptors: a session whose line was not read yet does not give way to idle clients

Cause: who gives way is the oldest of those of which no line was read, and a first line may lie in the kernel unread while a crowd is taken behind it.

Change: a guest that is told to go and finds its line whole stays, and the next guest goes in its place; none is left of them where all others are sessions.

The tests on sockets now wait until the crowd has come before discovery returns: a client that is slow to speak may be shut unread, and that is no fault.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -207,9 +207,9 @@
         };
         let mut line = first_line(client).or(way).or(closed).await;
         // A line that has come by now is answered like any other: nobody is there to send it again.
-        if matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled))
-            && client.link.has_line()
-        {
+        let late =
+            matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled | Reason::NoRoom));
+        if late && client.link.has_line() && client.place.stays() {
             let way = give_way(&client.place);
             line = first_line(client).or(way).await;
         }
@@ -234,7 +234,7 @@
             }
         });
         match head {
-            Ok((_, listener)) if !client.place.seat() => {
+            Ok((_, listener)) if !client.place.stays() || !client.place.seat() => {
                 self.figures.answered(listener, Answer::Refused);
                 busy_at_once(&client.link.stream);
                 (None, Reason::NoRoom)
--- a/crates/larklink-proxy/src/room.rs
+++ b/crates/larklink-proxy/src/room.rs
@@ -222,6 +222,17 @@
         !self.told.is_closed()
     }
 
+    /// A guest that was told to give way and has spoken meanwhile: whether the next one gives way in its place. What a
+    /// client said lies unread in the kernel while a crowd is taken, and sessions were turned away with the silent.
+    pub fn stays(&mut self) -> bool {
+        if !self.told.is_closed() || self.room.evict().is_none() {
+            return !self.told.is_closed();
+        }
+        self.room.leaving.set(self.room.leaving.get() - 1);
+        (self.tell, self.told) = async_channel::bounded(1);
+        true
+    }
+
     fn leave(&self) {
         let mut guests = self.room.guests.borrow_mut();
         guests.remove(&(false, self.number));
--- a/crates/larklink-proxy/tests/descriptors.rs
+++ b/crates/larklink-proxy/tests/descriptors.rs
@@ -56,6 +56,26 @@
     drop(newcomer);
 }
 
+/// A session's first line lay in the kernel while a crowd behind it was taken, and it gave way as the oldest.
+#[test]
+fn who_has_spoken_by_the_time_it_is_told_to_go_stays_for_the_next_idle_one() {
+    let room = Room::new(2);
+    let (mut session, idle) = (room.enter().unwrap(), room.enter().unwrap());
+    let newcomer = room.enter().unwrap();
+    assert!(!session.seat());
+    assert!(session.stays() && session.seat());
+    assert!(block_on(poll_once(session.must_go())).is_none());
+    assert!(block_on(poll_once(idle.must_go())).is_some());
+    drop(idle);
+    assert!(block_on(poll_once(room.settled())).is_some());
+    let mut last = newcomer;
+    let more = room.enter().unwrap();
+    assert!(more.seat());
+    assert!(!last.stays(), "all others are sessions");
+    drop((session, last, more));
+    assert_eq!(room.held(), 0);
+}
+
 /// Each counted two until it had closed.
 #[test]
 fn who_lingers_after_its_session_holds_one_and_gives_way_before_sessions() {
@@ -207,6 +227,7 @@
     let mut program = Program::start(agent.local_addr().unwrap().as_socket().unwrap(), told_of, allowed);
     let proxy = program.address;
     let crowd = crowd(proxy, limit + 50, limit + 1500);
+    let _crowd = crowd.join().unwrap();
     agent.listen(8).unwrap();
     agent.set_read_timeout(Some(PATIENCE)).unwrap();
     let (returned, agent) = (Instant::now(), TcpListener::from(agent));
@@ -227,7 +248,7 @@
         }
         becomes(|| probes.load(Relaxed) >= before + servers.min(limit / 8) / 2);
     }
-    drop((held, crowd));
+    drop(held);
     let most = program.most();
     assert!(most <= limit, "{most} of {limit} descriptors");
 }
