Handover: the other process leaves what is held, not all that is set aside for probes

Cause: with a part for probes that grows with the list, both processes of a proxy counted the whole of it for each other: of a limit of 256 with the operators' address and 90 servers clients had 86 descriptors during a handover (256 less two times 85), 128 before.

Change: a process that has no clients yet counts for what is set aside for good, and one that gives its connections away for that and what it holds, probes included. By the same sum clients have 121 then, less what the old process holds.

--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -200,7 +200,7 @@
 
     async fn serve(&self, stream: Async<UnixStream>) {
         // The new one holds descriptors from its start on.
-        self.room.leave_to(self.room.reserved());
+        self.room.leave_to(self.room.fixed());
         let (mut ear, mouth) = talk(stream);
         if let Err(e) = self.converse(&mut ear, &mouth).await {
             tracing::info!("the new process is gone: {e}");
@@ -249,7 +249,7 @@
                 let _ = self.stop.recv().await;
                 Ok(Step::Stop)
             };
-            let held = || self.room.reserved() + self.room.held();
+            let held = || self.room.in_use();
             match heard.or(stop).or(look).await? {
                 Step::Heard(Reply::Take) if self.heir.is_there() => {
                     return mouth.say(&Reply::Taken, &[]).await;
--- a/crates/larklink-proxy/src/room.rs
+++ b/crates/larklink-proxy/src/room.rs
@@ -71,9 +71,14 @@
         self.wake();
     }
 
-    /// What this process holds, or may at any time, beside its clients and their servers.
-    pub fn reserved(&self) -> usize {
-        usize::try_from(self.fixed + self.aside.get().max(self.probes.get())).unwrap_or(0)
+    /// What is set aside for good: a process that has no clients yet needs no more.
+    pub fn fixed(&self) -> usize {
+        usize::try_from(self.fixed).unwrap_or(0)
+    }
+
+    /// What the other process of this proxy must leave to this one: what is set aside for good, and what is held.
+    pub fn in_use(&self) -> usize {
+        usize::try_from(self.fixed + self.probes.get() + self.clients.get()).unwrap_or(0)
     }
 
     /// A place for a new connection, a guest until it is [`seated`](Place::seat); none if all the others are
