Names: a connection limiter and its permits, in place of Room and Place

Room is ConnectionLimiter (limiter.rs), Place ConnectionPermit, the guests are idle connections; no change of behaviour, tests only by these names. The local name place stays where clients.rs holds a permit, which has a Permit of its own for dials: left for when that file is split.

--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -22,10 +22,10 @@
 use crate::figures::{Answer, Figures, InProgress};
 use crate::handover::wire::Standing;
 use crate::handover::{Given, Heir};
+use crate::limiter::{ConnectionLimiter, ConnectionPermit};
 use crate::lines::{Head, Inbox, Reply, head, with_wait, word};
 use crate::list::server_id;
 use crate::log::Reason;
-use crate::room::{Place, Room};
 use crate::servers::{Link, dial, read, within};
 
 /// How long a client may take over its first line, or over the next after a probe. Who sends none is owed an
@@ -72,7 +72,7 @@
     pub last: Duration,
     pub stopped: Cell<Option<Instant>>,
     pub next: Cell<u32>,
-    pub room: Rc<Room>,
+    pub limiter: Rc<ConnectionLimiter>,
     /// The ids of the sessions that are open here, and their clients' keys.
     pub open: RefCell<HashMap<u64, u64>>,
     pub heir: Rc<Heir>,
@@ -80,7 +80,7 @@
 
 struct Client {
     link: Link,
-    place: Place,
+    place: ConnectionPermit,
     /// When it came, or its first line was whole.
     came: Instant,
 }
@@ -138,7 +138,7 @@
 }
 
 /// Serves one connection; its end leaves one line in the log.
-pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>, place: Place) {
+pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>, place: ConnectionPermit) {
     let started = Instant::now();
     let mut client = Client { link: Link::new(stream), place, came: started };
     let (session, reason) = front.serve(&mut client).await;
@@ -156,7 +156,7 @@
     else {
         return tracing::warn!("a session was given that cannot go on");
     };
-    let mut client = Client { link: client, place: front.room.inherit(), came: started };
+    let mut client = Client { link: client, place: front.limiter.inherit(), came: started };
     let (session, reason) = front.inherit(&was, &mut client, link).await;
     log_end(session, reason, started);
 }
@@ -192,7 +192,7 @@
     }
 
     async fn serve(&self, client: &mut Client) -> (Option<u32>, Reason) {
-        let give_way = |place: &Place| {
+        let give_way = |place: &ConnectionPermit| {
             let must_go = place.must_go();
             async move {
                 must_go.await;
@@ -278,7 +278,7 @@
                 // Only the first needs another descriptor: nothing has run.
                 Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
                 Ok(Order::Dial { dial: number, server, address, until, by }) => {
-                    self.room.settled().await;
+                    self.limiter.settled().await;
                     let wait = until.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
                     let mut slices = with_wait(line, &head.wait_at, &wait);
                     let permit = Permit { dial: number, by: by.into(), until, sent: false.into() };
@@ -402,7 +402,7 @@
         let (until, listener) = (Instant::now() + STAND, ask.listener);
         self.queue.send(Event::Stands { session, server, orders: sender }).await;
         let room = client.place.second();
-        self.room.settled().await;
+        self.limiter.settled().await;
         let Link { stream, inbox } = &mut client.link;
         let stream = &*stream;
         let work = async {
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -23,8 +23,8 @@
 
 use crate::config::Config;
 use crate::events::{Event, Queue};
+use crate::limiter::ConnectionLimiter;
 use crate::list::Endpoint;
-use crate::room::Room;
 use crate::servers::within;
 use wire::{Ear, Mouth, OWED, Reply, Standing, VERSION, bad, talk};
 
@@ -80,7 +80,7 @@
 /// What both sides of a handover need of their process.
 pub struct Handover {
     pub place: PathBuf,
-    pub room: Rc<Room>,
+    pub limiter: Rc<ConnectionLimiter>,
     pub queue: Queue,
     /// Whether this process takes connections; each change is told here.
     pub taking: Sender<bool>,
@@ -136,7 +136,7 @@
             }
         };
         let held = within(OWED, answer).await?;
-        held.into_iter().for_each(|held| self.room.leave_to(held));
+        held.into_iter().for_each(|held| self.limiter.leave_to(held));
         Ok(held.is_some())
     }
 
@@ -145,7 +145,7 @@
         let mut sessions = 0;
         let ended = loop {
             match old.ear.hear().await {
-                Ok(Reply::Held { held }) => self.room.leave_to(held),
+                Ok(Reply::Held { held }) => self.limiter.leave_to(held),
                 Ok(Reply::Session(session)) => match (old.ear.beside(), old.ear.beside()) {
                     (Ok(client), Ok(server)) => {
                         sessions += 1;
@@ -158,7 +158,7 @@
             }
         };
         tracing::info!(sessions, "the process before has ended: {ended}");
-        self.room.leave_to(0);
+        self.limiter.leave_to(0);
     }
 
     /// Opens the place where a new process meets this one.
@@ -200,7 +200,7 @@
 
     async fn serve(&self, stream: Async<UnixStream>) {
         // The new one holds descriptors from its start on.
-        self.room.leave_to(self.room.fixed());
+        self.limiter.leave_to(self.limiter.fixed());
         let (mut ear, mouth) = talk(stream);
         if let Err(e) = self.converse(&mut ear, &mouth).await {
             tracing::info!("the new process is gone: {e}");
@@ -211,7 +211,7 @@
             self.heir.0.take();
         }
         if !self.heir.is_there() {
-            self.room.leave_to(0);
+            self.limiter.leave_to(0);
         }
         if mine && !self.stop.is_closed() {
             tracing::warn!("a process that had taken over is gone: takes connections again");
@@ -249,7 +249,7 @@
                 let _ = self.stop.recv().await;
                 Ok(Step::Stop)
             };
-            let held = || self.room.in_use();
+            let held = || self.limiter.in_use();
             match heard.or(stop).or(look).await? {
                 Step::Heard(Reply::Take) if self.heir.is_there() => {
                     return mouth.say(&Reply::Taken, &[]).await;
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -10,11 +10,12 @@
 pub mod events;
 pub mod figures;
 pub mod handover;
+pub mod limiter;
 pub mod lines;
 pub mod list;
 pub mod log;
 pub mod probes;
 pub mod proxy;
 pub mod reload;
-pub mod room;
+
 pub mod servers;
--- a/crates/larklink-proxy/src/room.rs
+++ b/crates/larklink-proxy/src/limiter.rs
@@ -17,7 +17,7 @@
 /// A limit under twice what is set aside for good leaves less for that, but this part of it at least.
 const LEAST_PART: usize = 4;
 
-pub struct Room {
+pub struct ConnectionLimiter {
     /// For clients, their servers and probes together.
     all: isize,
     /// Never theirs.
@@ -33,11 +33,11 @@
     leaving: Cell<isize>,
     next: Cell<u64>,
     /// Who gives way, in this order: if they have spoken, and when they came. Each holds one descriptor.
-    guests: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
+    idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
     waiting: RefCell<Vec<Waker>>,
 }
 
-impl Room {
+impl ConnectionLimiter {
     /// All of so many descriptors, for clients.
     pub fn new(descriptors: usize) -> Rc<Self> {
         Self::beside(0, descriptors)
@@ -58,12 +58,12 @@
             others: Cell::new(0),
             leaving: Cell::new(0),
             next: Cell::new(0),
-            guests: RefCell::default(),
+            idle: RefCell::default(),
             waiting: RefCell::default(),
         })
     }
 
-    /// Sets a descriptor aside for probes of each of so many servers, as far as the limit allows. Guests give way at
+    /// Sets a descriptor aside for probes of each of so many servers, as far as the limit allows. Idle ones give way at
     /// once where clients have them; sessions stay, and probes get theirs as sessions end.
     pub fn set_aside(&self, servers: usize) {
         self.aside.set(isize::try_from(servers).unwrap_or(isize::MAX).min(self.most_aside));
@@ -81,13 +81,13 @@
         usize::try_from(self.fixed + self.probes.get() + self.clients.get()).unwrap_or(0)
     }
 
-    /// A place for a new connection, a guest until it is [`seated`](Place::seat); none if all the others are
+    /// A permit for a new connection, which is idle until it is [`seated`](ConnectionPermit::seat); none if all the others are
     /// sessions.
-    pub fn enter(self: &Rc<Self>) -> Option<Place> {
+    pub fn enter(self: &Rc<Self>) -> Option<ConnectionPermit> {
         self.take()?;
-        let place = self.place(1);
-        self.guests.borrow_mut().insert((false, place.number), place.tell.clone());
-        Some(place)
+        let permit = self.permit(1);
+        self.idle.borrow_mut().insert((false, permit.number), permit.tell.clone());
+        Some(permit)
     }
 
     /// Descriptors that clients and their servers hold here.
@@ -95,19 +95,19 @@
         usize::try_from(self.clients.get()).unwrap_or(0)
     }
 
-    /// The other process of this proxy holds so many of them now. Guests give way where they are too few then;
-    /// sessions stay, and none comes in until there is room.
+    /// The other process of this proxy holds so many of them now. Idle ones give way where they are too few then;
+    /// sessions stay, and none comes in until some have ended.
     pub fn leave_to(&self, others: usize) {
         self.others.set(isize::try_from(others).unwrap_or(isize::MAX).min(self.all));
         self.make_way();
         self.wake();
     }
 
-    /// The place of a session that the other process held; it comes even where there is no room left, as that one
+    /// The permit of a session that the other process held; it comes even where none is left, as that one
     /// gives its own up.
-    pub fn inherit(self: &Rc<Self>) -> Place {
+    pub fn inherit(self: &Rc<Self>) -> ConnectionPermit {
         self.clients.set(self.clients.get() + 2);
-        self.place(2)
+        self.permit(2)
     }
 
     /// Resolves once those that were told to give way have closed, as far as their descriptors are in use again:
@@ -122,18 +122,18 @@
 
     /// A descriptor for a probe, of those set aside; none while they, or all, are in use. One probe has one whatever
     /// others hold.
-    pub fn probe(self: &Rc<Self>) -> Option<Probe> {
+    pub fn probe(self: &Rc<Self>) -> Option<ProbePermit> {
         let probes = self.probes.get();
         let taken = probes + self.clients.get() + self.others.get();
         if probes > 0 && (probes >= self.aside.get() || taken >= self.all) {
             return None;
         }
         self.probes.set(probes + 1);
-        Some(Probe(Rc::clone(self)))
+        Some(ProbePermit(Rc::clone(self)))
     }
 
     /// The same, once there is one.
-    pub async fn next_probe(self: &Rc<Self>) -> Probe {
+    pub async fn next_probe(self: &Rc<Self>) -> ProbePermit {
         poll_fn(|cx| match self.probe() {
             Some(probe) => Poll::Ready(probe),
             None => self.wait(cx.waker()),
@@ -160,16 +160,16 @@
     }
 
     fn evict(&self) -> Option<()> {
-        let (_, guest) = self.guests.borrow_mut().pop_first()?;
+        let (_, one) = self.idle.borrow_mut().pop_first()?;
         self.leaving.set(self.leaving.get() + 1);
-        guest.close();
+        one.close();
         Some(())
     }
 
-    fn place(self: &Rc<Self>, held: isize) -> Place {
+    fn permit(self: &Rc<Self>, held: isize) -> ConnectionPermit {
         let number = self.next.replace(self.next.get() + 1);
         let (tell, told) = async_channel::bounded(1);
-        Place { room: Rc::clone(self), number, held, tell, told }
+        ConnectionPermit { limiter: Rc::clone(self), number, held, tell, told }
     }
 
     fn wait<T>(&self, waker: &Waker) -> Poll<T> {
@@ -183,9 +183,9 @@
 }
 
 /// A probe's descriptor, given back when this is dropped.
-pub struct Probe(Rc<Room>);
+pub struct ProbePermit(Rc<ConnectionLimiter>);
 
-impl Drop for Probe {
+impl Drop for ProbePermit {
     fn drop(&mut self) {
         self.0.probes.set(self.0.probes.get() - 1);
         self.0.wake();
@@ -193,17 +193,17 @@
 }
 
 /// A connection's descriptors, given back when this is dropped.
-pub struct Place {
-    room: Rc<Room>,
+pub struct ConnectionPermit {
+    limiter: Rc<ConnectionLimiter>,
     number: u64,
     held: isize,
-    /// Closed when this guest is to give way.
+    /// Closed when this idle one is to give way.
     tell: Sender<()>,
     told: Receiver<()>,
 }
 
-impl Place {
-    /// Resolves when this guest is to give way.
+impl ConnectionPermit {
+    /// Resolves when this idle one is to give way.
     pub fn must_go(&self) -> impl Future<Output = ()> + use<> {
         let told = self.told.clone();
         async move {
@@ -211,13 +211,13 @@
         }
     }
 
-    /// A guest that has spoken stays longer than one that has not; so does one whose session is over, which has its
+    /// An idle one that has spoken stays longer than one that has not; so does one whose session is over, which has its
     /// own connection only.
     pub fn spoke(&mut self) {
         self.leave();
         self.give_back(self.held - 1);
         if !self.told.is_closed() {
-            self.room.guests.borrow_mut().insert((true, self.number), self.tell.clone());
+            self.limiter.idle.borrow_mut().insert((true, self.number), self.tell.clone());
         }
     }
 
@@ -227,27 +227,27 @@
         !self.told.is_closed()
     }
 
-    /// A guest that was told to give way and has spoken meanwhile: whether the next one gives way in its place. What a
+    /// An idle one that was told to give way and has spoken meanwhile: whether the next one gives way in its place. What a
     /// client said lies unread in the kernel while a crowd is taken, and sessions were turned away with the silent.
     pub fn stays(&mut self) -> bool {
-        if !self.told.is_closed() || self.room.evict().is_none() {
+        if !self.told.is_closed() || self.limiter.evict().is_none() {
             return !self.told.is_closed();
         }
-        self.room.leaving.set(self.room.leaving.get() - 1);
+        self.limiter.leaving.set(self.limiter.leaving.get() - 1);
         (self.tell, self.told) = async_channel::bounded(1);
         true
     }
 
     fn leave(&self) {
-        let mut guests = self.room.guests.borrow_mut();
-        guests.remove(&(false, self.number));
-        guests.remove(&(true, self.number));
+        let mut idle = self.limiter.idle.borrow_mut();
+        idle.remove(&(false, self.number));
+        idle.remove(&(true, self.number));
     }
 
-    /// Makes sure of a second descriptor, for a dial; it is there to be had once the room is
-    /// [`settled`](Room::settled).
+    /// Makes sure of a second descriptor, for a dial; it is there to be had once the limiter has
+    /// [`settled`](ConnectionLimiter::settled).
     pub fn second(&mut self) -> bool {
-        if self.held < 2 && self.room.take().is_some() {
+        if self.held < 2 && self.limiter.take().is_some() {
             self.held = 2;
         }
         self.held == 2
@@ -255,16 +255,16 @@
 
     fn give_back(&mut self, descriptors: isize) {
         self.held -= descriptors;
-        self.room.clients.set(self.room.clients.get() - descriptors);
-        self.room.wake();
+        self.limiter.clients.set(self.limiter.clients.get() - descriptors);
+        self.limiter.wake();
     }
 }
 
-impl Drop for Place {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.leave();
         if self.told.is_closed() {
-            self.room.leaving.set(self.room.leaving.get() - 1);
+            self.limiter.leaving.set(self.limiter.leaving.get() - 1);
         }
         self.give_back(self.held);
     }
--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -12,9 +12,9 @@
 
 use crate::clock::{span, tenths};
 use crate::events::{Event, Queue};
+use crate::limiter::{ConnectionLimiter, ProbePermit};
 use crate::lines::{Reply, report, word};
 use crate::list::Endpoint;
-use crate::room::{Probe, Room};
 use crate::servers::{Link, connect, within, write_gathered};
 
 pub struct Probes {
@@ -26,22 +26,22 @@
     /// Servers that are being asked, and have not gone from the list since: one connection to each is kept.
     asked: RefCell<HashSet<u32>>,
     queue: Queue,
-    room: Rc<Room>,
+    limiter: Rc<ConnectionLimiter>,
 }
 
 struct Kept {
     address: SocketAddr,
     link: Link,
-    descriptor: Probe,
+    descriptor: ProbePermit,
     since: Instant,
 }
 
 impl Probes {
-    pub fn new(facts: &Facts, queue: Queue, room: Rc<Room>) -> Self {
+    pub fn new(facts: &Facts, queue: Queue, limiter: Rc<ConnectionLimiter>) -> Self {
         let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
         let (probing, connect_timeout) = (facts.settings.probing, span(facts.settings.connect_timeout));
         let (kept, asked) = Default::default();
-        Self { names, probing, connect_timeout, kept, asked, queue, room }
+        Self { names, probing, connect_timeout, kept, asked, queue, limiter }
     }
 
     /// Asks a server; the answer goes to the queue. Its time counts from when there is a descriptor for it.
@@ -86,19 +86,19 @@
     /// those that are gone are closed, those under way once they have brought their answer. A whole list says nothing
     /// of servers that are gone, and connections to them stayed for good.
     pub fn listed(&self, servers: &BTreeMap<u32, Endpoint>) {
-        self.room.set_aside(if self.probing { servers.len() } else { 0 });
+        self.limiter.set_aside(if self.probing { servers.len() } else { 0 });
         self.kept.borrow_mut().retain(|server, _| servers.contains_key(server));
         self.asked.borrow_mut().retain(|server| servers.contains_key(server));
     }
 
     /// One that is free, or that of the connection that has rested longest, or the next that another probe gives back.
-    async fn descriptor(&self) -> Probe {
-        if let Some(free) = self.room.probe() {
+    async fn descriptor(&self) -> ProbePermit {
+        if let Some(free) = self.limiter.probe() {
             return free;
         }
         match self.oldest() {
             Some(kept) => kept.descriptor,
-            None => self.room.next_probe().await,
+            None => self.limiter.next_probe().await,
         }
     }
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -22,8 +22,8 @@
 use crate::events;
 use crate::figures::Figures;
 use crate::handover::{Handover, Old};
+use crate::limiter::ConnectionLimiter;
 use crate::probes::Probes;
-use crate::room::Room;
 
 /// Descriptors kept for the listener, discovery, logs, the event loop and one handover, and for a connection that is
 /// taken while another gives way to it. Those of the operators' door are kept beside.
@@ -67,7 +67,7 @@
         known.clone_from(&old.list);
     }
     let door = if config.console.is_some() { console::DESCRIPTORS } else { 0 };
-    let room = Room::beside(RESERVED + door, config.limits.sockets);
+    let limiter = ConnectionLimiter::beside(RESERVED + door, config.limits.sockets);
     // Streams of their own beside the decisions', from the one seed.
     let chance = |stream| {
         let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
@@ -75,7 +75,7 @@
         rng
     };
     let (fresh, first) = async_channel::bounded(1);
-    let probes = Rc::new(Probes::new(&facts, queue.clone(), Rc::clone(&room)));
+    let probes = Rc::new(Probes::new(&facts, queue.clone(), Rc::clone(&limiter)));
     let owner =
         Owner::new(&facts, config.seed, known, probes, Rc::clone(&executor), Arc::clone(&figures), fresh);
     executor.spawn(owner.run(events)).detach();
@@ -95,7 +95,7 @@
         last: STILL_COMING + span(facts.longest).min(LONGEST),
         stopped: Cell::new(None),
         next: Cell::new(0),
-        room: Rc::clone(&room),
+        limiter: Rc::clone(&limiter),
         open: RefCell::default(),
         heir: Rc::default(),
     });
@@ -104,7 +104,7 @@
     let handover = place.map(|place| {
         Rc::new(Handover {
             place,
-            room: Rc::clone(&room),
+            limiter: Rc::clone(&limiter),
             queue,
             taking,
             stop: stop.clone(),
@@ -116,7 +116,7 @@
     });
     // While an old process takes connections, this one does not.
     let mut takes = old.is_none();
-    let admit = |stream| match front.room.enter() {
+    let admit = |stream| match front.limiter.enter() {
         Some(place) => executor.spawn(clients::serve(Rc::clone(&front), stream, place)).detach(),
         None => clients::turn_away(&stream),
     };
@@ -139,7 +139,7 @@
                 Ok(Ok((stream, _))) => {
                     admit(stream);
                     // Who gives way is to have closed before the next one comes.
-                    front.room.settled().await;
+                    front.limiter.settled().await;
                     future::yield_now().await;
                 }
                 Ok(Err(e)) => {
@@ -202,7 +202,7 @@
     // What the kernel has taken for us counts as taken: the listener's end would reset it.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         let _ = Async::new(stream).map(admit);
-        front.room.settled().await;
+        front.limiter.settled().await;
     }
     tracing::info!("no more connections are taken: the proxy stops");
     drop(listener);
--- a/crates/larklink-proxy/tests/descriptors.rs
+++ b/crates/larklink-proxy/tests/descriptors.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future::{block_on, poll_once};
-use larklink_proxy::room::Room;
+use larklink_proxy::limiter::ConnectionLimiter;
 
 mod stage;
 use stage::peer::{PATIENCE, Peer, open};
@@ -18,39 +18,39 @@
 /// The part of probes was computed once, from the first list.
 #[test]
 fn what_is_set_aside_grows_with_the_list_and_idle_ones_give_way_for_it() {
-    let room = Room::beside(10, 100);
-    let mut session = room.enter().unwrap();
+    let limiter = ConnectionLimiter::beside(10, 100);
+    let mut session = limiter.enter().unwrap();
     assert!(session.seat() && session.second());
-    let mut idle: Vec<_> = (0..88).map(|_| room.enter().unwrap()).collect();
-    assert_eq!(room.held(), 90);
+    let mut idle: Vec<_> = (0..88).map(|_| limiter.enter().unwrap()).collect();
+    assert_eq!(limiter.held(), 90);
     // One probe goes through whatever clients hold, on what is kept for good.
-    let mut probes = vec![room.probe().unwrap()];
-    assert!(room.probe().is_none());
+    let mut probes = vec![limiter.probe().unwrap()];
+    assert!(limiter.probe().is_none());
     let mut told = 0;
     for servers in [1, 8, 16, 1024] {
-        room.set_aside(servers);
+        limiter.set_aside(servers);
         // A third of the limit at most, with what is kept for good.
         let part = servers.min(33 - 10);
         let gone = idle.iter().filter(|guest| block_on(poll_once(guest.must_go())).is_some()).count();
         assert_eq!(told + gone, part, "as many as were set aside, the oldest");
-        assert!(room.probe().is_none(), "they hold theirs until they have closed");
+        assert!(limiter.probe().is_none(), "they hold theirs until they have closed");
         idle.drain(..gone).for_each(drop);
         told += gone;
-        probes.extend(std::iter::from_fn(|| room.probe()));
-        assert_eq!((probes.len(), room.held()), (part, 90 - part));
+        probes.extend(std::iter::from_fn(|| limiter.probe()));
+        assert_eq!((probes.len(), limiter.held()), (part, 90 - part));
     }
     drop(probes);
     // A newcomer does not take what is set aside: the oldest gives way to it, the session never.
-    let newcomer = room.enter().unwrap();
+    let newcomer = limiter.enter().unwrap();
     assert!(block_on(poll_once(idle[0].must_go())).is_some());
-    assert!(block_on(poll_once(room.settled())).is_none(), "the oldest has not closed yet");
+    assert!(block_on(poll_once(limiter.settled())).is_none(), "the oldest has not closed yet");
     idle.remove(0);
-    assert!(block_on(poll_once(room.settled())).is_some());
+    assert!(block_on(poll_once(limiter.settled())).is_some());
     assert!(block_on(poll_once(session.must_go())).is_none());
     // With a shorter list clients have it again.
-    room.set_aside(0);
-    idle.extend((0..23).map(|_| room.enter().unwrap()));
-    assert_eq!(room.held(), 90);
+    limiter.set_aside(0);
+    idle.extend((0..23).map(|_| limiter.enter().unwrap()));
+    assert_eq!(limiter.held(), 90);
     assert!(idle.iter().all(|guest| block_on(poll_once(guest.must_go())).is_none()));
     drop(newcomer);
 }
@@ -58,73 +58,74 @@
 /// A session's first line lay in the kernel while a crowd behind it was taken, and it gave way as the oldest.
 #[test]
 fn who_has_spoken_by_the_time_it_is_told_to_go_stays_for_the_next_idle_one() {
-    let room = Room::new(2);
-    let (mut session, idle) = (room.enter().unwrap(), room.enter().unwrap());
-    let newcomer = room.enter().unwrap();
+    let limiter = ConnectionLimiter::new(2);
+    let (mut session, idle) = (limiter.enter().unwrap(), limiter.enter().unwrap());
+    let newcomer = limiter.enter().unwrap();
     assert!(!session.seat());
     assert!(session.stays() && session.seat());
     assert!(block_on(poll_once(session.must_go())).is_none());
     assert!(block_on(poll_once(idle.must_go())).is_some());
     drop(idle);
-    assert!(block_on(poll_once(room.settled())).is_some());
+    assert!(block_on(poll_once(limiter.settled())).is_some());
     let mut last = newcomer;
-    let more = room.enter().unwrap();
+    let more = limiter.enter().unwrap();
     assert!(more.seat());
     assert!(!last.stays(), "all others are sessions");
     drop((session, last, more));
-    assert_eq!(room.held(), 0);
+    assert_eq!(limiter.held(), 0);
 }
 
 /// Each counted two until it had closed.
 #[test]
 fn who_lingers_after_its_session_holds_one_and_gives_way_before_sessions() {
-    let room = Room::new(4);
-    let mut over = room.enter().unwrap();
+    let limiter = ConnectionLimiter::new(4);
+    let mut over = limiter.enter().unwrap();
     assert!(over.seat() && over.second());
     over.spoke();
-    assert_eq!(room.held(), 1);
-    let mut session = room.enter().unwrap();
+    assert_eq!(limiter.held(), 1);
+    let mut session = limiter.enter().unwrap();
     assert!(session.seat() && session.second());
-    let guest = room.enter().unwrap();
-    let newcomer = room.enter().unwrap();
+    let guest = limiter.enter().unwrap();
+    let newcomer = limiter.enter().unwrap();
     assert!(block_on(poll_once(guest.must_go())).is_some() && !guest.seat());
     drop(guest);
     assert!(newcomer.seat());
-    let last = room.enter().unwrap();
+    let last = limiter.enter().unwrap();
     assert!(block_on(poll_once(over.must_go())).is_some());
     drop(over);
-    assert!(last.seat() && room.enter().is_none());
+    assert!(last.seat() && limiter.enter().is_none());
 }
 
 /// All that was set aside for probes counted for both processes, and left few descriptors to clients where the limit is low.
 #[test]
 fn the_other_process_leaves_what_is_held_and_not_what_is_set_aside() {
-    let room = Room::beside(10, 100);
-    room.set_aside(20);
-    let _probes = (room.probe().unwrap(), room.probe().unwrap());
-    let _idle = room.enter().unwrap();
-    assert_eq!((room.fixed(), room.in_use()), (10, 10 + 2 + 1));
+    let limiter = ConnectionLimiter::beside(10, 100);
+    limiter.set_aside(20);
+    let _probes = (limiter.probe().unwrap(), limiter.probe().unwrap());
+    let _idle = limiter.enter().unwrap();
+    assert_eq!((limiter.fixed(), limiter.in_use()), (10, 10 + 2 + 1));
 }
 
 #[test]
 fn probes_share_what_there_is() {
-    let room = Room::beside(4, 30);
-    room.set_aside(1024);
-    let mut probes: Vec<_> = std::iter::from_fn(|| room.probe()).collect();
+    let limiter = ConnectionLimiter::beside(4, 30);
+    limiter.set_aside(1024);
+    let mut probes: Vec<_> = std::iter::from_fn(|| limiter.probe()).collect();
     assert_eq!(probes.len(), 30 / 3 - 4);
-    let mut next = Box::pin(room.next_probe());
+    let mut next = Box::pin(limiter.next_probe());
     assert!(block_on(poll_once(&mut next)).is_none());
     probes.pop();
     assert!(block_on(poll_once(&mut next)).is_some());
     // Sessions that stand where a list has grown go before: probes get theirs as sessions end.
-    let room = Room::beside(4, 30);
-    let mut sessions: Vec<_> = (0..26).map(|_| room.enter().filter(|place| place.seat()).unwrap()).collect();
-    room.set_aside(1024);
-    assert!(room.enter().is_none());
-    let first = room.probe();
-    assert!(first.is_some() && room.probe().is_none());
+    let limiter = ConnectionLimiter::beside(4, 30);
+    let mut sessions: Vec<_> =
+        (0..26).map(|_| limiter.enter().filter(|place| place.seat()).unwrap()).collect();
+    limiter.set_aside(1024);
+    assert!(limiter.enter().is_none());
+    let first = limiter.probe();
+    assert!(first.is_some() && limiter.probe().is_none());
     sessions.truncate(23);
-    let few: Vec<_> = std::iter::from_fn(|| room.probe()).collect();
+    let few: Vec<_> = std::iter::from_fn(|| limiter.probe()).collect();
     assert_eq!(few.len(), 2);
 }
 
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -13,8 +13,8 @@
 use std::time::Instant;
 
 use larklink_proxy::handover::wire::{Reply, VERSION, talk, word};
+use larklink_proxy::limiter::ConnectionLimiter;
 use larklink_proxy::list::Endpoint;
-use larklink_proxy::room::Room;
 use rustix::process::{Pid, Signal, kill_process};
 
 mod peer;
@@ -402,27 +402,27 @@
 /// Two processes never hold more than one may; who gives up lets the other have it.
 #[test]
 fn descriptors_count_for_both() {
-    let room = Room::new(6);
-    let guest = room.enter().unwrap();
-    let mut session = room.enter().unwrap();
+    let limiter = ConnectionLimiter::new(6);
+    let guest = limiter.enter().unwrap();
+    let mut session = limiter.enter().unwrap();
     assert!(session.seat() && session.second());
-    assert_eq!(room.held(), 3);
-    room.leave_to(3);
-    assert_eq!(room.held(), 3);
+    assert_eq!(limiter.held(), 3);
+    limiter.leave_to(3);
+    assert_eq!(limiter.held(), 3);
     // Full with the other's: the guest gives way, and then there is nobody left to.
-    let more = room.enter().unwrap();
+    let more = limiter.enter().unwrap();
     assert!(!guest.seat());
     drop(guest);
     assert!(more.seat());
-    assert!(room.enter().is_none());
+    assert!(limiter.enter().is_none());
     // Sessions that are given come all the same, and count.
-    let given = room.inherit();
-    assert_eq!(room.held(), 5);
-    room.leave_to(1);
-    assert!(room.enter().is_none());
+    let given = limiter.inherit();
+    assert_eq!(limiter.held(), 5);
+    limiter.leave_to(1);
+    assert!(limiter.enter().is_none());
     drop(given);
-    assert!(room.enter().is_some());
-    room.leave_to(0);
+    assert!(limiter.enter().is_some());
+    limiter.leave_to(0);
     drop((more, session));
-    assert_eq!(room.held(), 0);
+    assert_eq!(limiter.held(), 0);
 }
