Probes: one that waits for a descriptor goes before a connection that rests

Where there are fewer descriptors for probes than servers, a connection whose probe was answered rested with its descriptor; a probe that waited for one was woken by none of these and never asked its server, and the session behind it waited its time out.

Change: no connection rests while a probe waits.

Shown: two descriptors and three probes; without the fix the third waits without end (the test fails after its 10 s), with it all are answered.

--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -1,6 +1,6 @@
 //! Probes: one kept connection to each server that was asked, for a line there and a line back; fewer where the
 //! descriptors that are set aside for them are fewer than the servers.
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{ErrorKind, IoSlice, Result};
 use std::net::SocketAddr;
@@ -25,6 +25,8 @@
     kept: RefCell<HashMap<u32, Kept>>,
     /// Servers that are being asked, and have not gone from the list since: one connection to each is kept.
     asked: RefCell<HashSet<u32>>,
+    /// Probes that wait for a descriptor: none rests at a connection meanwhile.
+    waiting: Cell<usize>,
     queue: Queue,
     limiter: Rc<ConnectionLimiter>,
 }
@@ -40,8 +42,8 @@
     pub fn new(facts: &Facts, queue: Queue, limiter: Rc<ConnectionLimiter>) -> Self {
         let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
         let (probing, connect_timeout) = (facts.settings.probing, span(facts.settings.connect_timeout));
-        let (kept, asked) = Default::default();
-        Self { names, probing, connect_timeout, kept, asked, queue, limiter }
+        let (kept, asked, waiting) = Default::default();
+        Self { names, probing, connect_timeout, kept, asked, waiting, queue, limiter }
     }
 
     /// Asks a server; the answer goes to the queue. Its time counts from when there is a descriptor for it.
@@ -68,7 +70,7 @@
         }
         let (how, report) = match answer {
             Ok((how, report, link)) => {
-                if self.asked.borrow_mut().remove(&server) {
+                if self.asked.borrow_mut().remove(&server) && self.waiting.get() == 0 {
                     let kept = Kept { address, link, descriptor, since: started };
                     self.kept.borrow_mut().insert(server, kept);
                 }
@@ -98,7 +100,12 @@
         }
         match self.oldest() {
             Some(kept) => kept.descriptor,
-            None => self.limiter.next_probe().await,
+            None => {
+                self.waiting.set(self.waiting.get() + 1);
+                let next = self.limiter.next_probe().await;
+                self.waiting.set(self.waiting.get() - 1);
+                next
+            }
         }
     }
 
--- a/crates/larklink-proxy/tests/descriptors.rs
+++ b/crates/larklink-proxy/tests/descriptors.rs
@@ -3,13 +3,19 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use futures_lite::future::{block_on, poll_once};
+use futures_lite::future::{self, block_on, poll_once};
+use larklink::types::Outcome;
+use larklink_proxy::config::Config;
+use larklink_proxy::events::{Event, queue};
 use larklink_proxy::limiter::ConnectionLimiter;
+use larklink_proxy::list::Endpoint;
+use larklink_proxy::probes::Probes;
 
 mod stage;
 use stage::peer::{PATIENCE, Peer, open};
@@ -129,6 +135,41 @@
     assert_eq!(few.len(), 2);
 }
 
+/// Those that were answered rested with their descriptors, and who waited for one was never asked.
+#[test]
+fn a_probe_that_waits_goes_before_a_connection_that_rests() {
+    let (listener, at) = server();
+    let answers = thread::spawn(move || {
+        // The first two are answered once both have come, so that the third has to wait.
+        let mut both = [Peer::accept(&listener), Peer::accept(&listener)];
+        both.iter_mut().for_each(|one| assert_eq!(one.hear(), "PING\r\n"));
+        both.iter_mut().for_each(|one| one.say("PONG\r\n"));
+        let mut third = Peer::accept(&listener);
+        assert_eq!(third.hear(), "PING\r\n");
+        third.say("PONG\r\n");
+        both.into_iter().filter_map(|mut one| one.0.read(&mut [0]).ok()).filter(|&n| n == 0).count()
+    });
+    let config =
+        config(&[at], nobody(), "proxy", 1024).replace(r#""send_cap""#, r#""probing":true,"send_cap""#);
+    let config: Config = serde_json::from_str(&config.replace("250000000", "5000000000")).unwrap();
+    let (queue, events) = queue();
+    let limiter = ConnectionLimiter::beside(4, 18);
+    let probes = Probes::new(&config.settings, queue, Rc::clone(&limiter));
+    let listed = (0..3).map(|n| (n, Endpoint::default())).collect();
+    probes.listed(&listed);
+    let asks = future::zip(future::zip(probes.ask(0, at), probes.ask(1, at)), probes.ask(2, at));
+    let late = async {
+        async_io::Timer::after(PATIENCE).await;
+        panic!("a probe waits without end");
+    };
+    async_io::block_on(future::or(async { _ = asks.await }, late));
+    let all = std::iter::from_fn(|| events.try_recv().ok());
+    let accepted = |event: &Event| matches!(event, Event::Probed { how: Outcome::Accepted, .. });
+    assert_eq!(all.filter(accepted).count(), 3);
+    drop(probes);
+    assert_eq!(answers.join().unwrap(), 2);
+}
+
 /// The program itself with so few descriptors, and somebody who counts those that it has open all the time.
 struct Program {
     child: Child,
