--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -20,11 +20,11 @@
 use crate::figures::{Answer, Figures, InProgress};
 use crate::handover::wire::Standing;
 use crate::handover::{Given, Heir};
+use crate::limiter::{ConnectionLimiter, ConnectionPermit};
 use crate::lines::{Head, Inbox, head};
 use crate::log::Reason;
 use crate::pending::asks;
 use crate::relay::Stands;
-use crate::room::{Place, Room};
 use crate::servers::{Link, within};
 
 /// How long a client may take over its first line, or over the next after a probe. Who sends none is owed an
@@ -60,7 +60,7 @@
     pub last: Duration,
     pub stopped: Cell<Option<Instant>>,
     pub next: Cell<u32>,
-    pub room: Rc<Room>,
+    pub limiter: Rc<ConnectionLimiter>,
     /// The ids of the sessions that are open here, and their clients' keys.
     pub open: RefCell<HashMap<u64, u64>>,
     pub heir: Rc<Heir>,
@@ -68,7 +68,7 @@
 
 pub(crate) struct Client {
     pub link: Link,
-    pub place: Place,
+    pub place: ConnectionPermit,
     /// When it came, or its first line was whole.
     pub came: Instant,
 }
@@ -83,7 +83,7 @@
 }
 
 /// Serves one connection; its end leaves one line in the log.
-pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>, place: Place) {
+pub async fn serve(front: Rc<Front>, stream: Async<TcpStream>, place: ConnectionPermit) {
     let started = Instant::now();
     let mut client = Client { link: Link::new(stream), place, came: started };
     let (session, reason) = front.serve(&mut client).await;
@@ -101,7 +101,7 @@
     else {
         return tracing::warn!("a session was given that cannot go on");
     };
-    let mut client = Client { link: client, place: front.room.inherit(), came: started };
+    let mut client = Client { link: client, place: front.limiter.inherit(), came: started };
     let (session, reason) = front.inherit(&was, &mut client, link).await;
     log_end(session, reason, started);
 }
@@ -137,23 +137,28 @@
     }
 
     async fn serve(&self, client: &mut Client) -> (Option<u32>, Reason) {
-        let give_way = client.place.must_go();
-        let give_way = async {
-            give_way.await;
-            Err(Reason::NoRoom)
+        let give_way = |place: &ConnectionPermit| {
+            let must_go = place.must_go();
+            async move {
+                must_go.await;
+                Err(Reason::NoRoom)
+            }
         };
+        let way = give_way(&client.place);
         let closed = async {
             let _ = self.closed.recv().await;
             Timer::after(LAST).await;
             Err(Reason::Stopped)
         };
-        let mut line = first_line(client).or(give_way).or(closed).await;
+        let mut line = first_line(client).or(way).or(closed).await;
         // A line that has come by now is answered like any other: nobody is there to send it again. So is one of which a
         // stop finds a part, as long as it may still come.
-        if matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled))
-            && (client.link.has_line() || line == Err(Reason::Stopped) && client.link.has_some())
-        {
-            line = first_line(client).or(self.last_call()).await;
+        let late =
+            matches!(line, Err(Reason::Stopped | Reason::Pinged | Reason::HeadStalled | Reason::NoRoom));
+        let said = client.link.has_line() || line == Err(Reason::Stopped) && client.link.has_some();
+        if late && said && client.place.stays() {
+            let way = give_way(&client.place);
+            line = first_line(client).or(way).or(self.last_call()).await;
         }
         let line = match line {
             Ok(line) => line,
@@ -178,7 +183,7 @@
             }
         });
         match head {
-            Ok((_, listener)) if !client.place.seat() => {
+            Ok((_, listener)) if !client.place.stays() || !client.place.seat() => {
                 self.figures.answered(listener, Answer::Refused);
                 self.figures.refused_undialled(Reason::NoRoom, Instant::now());
                 busy_at_once(&client.link.stream);
@@ -266,12 +271,15 @@
 }
 
 /// The final answer, and the end of the connection.
-pub(crate) async fn answer(client: &Client, line: &str) {
+pub(crate) async fn answer(client: &mut Client, line: &str) {
     client.place.spoke();
     let mut stream = &client.link.stream;
-    if within(STUCK, stream.write_all(line.as_bytes())).await.is_ok() {
-        close(&client.link).or(client.place.must_go()).await;
-    }
+    let answered = async {
+        if within(STUCK, stream.write_all(line.as_bytes())).await.is_ok() {
+            close(&client.link).await;
+        }
+    };
+    answered.or(client.place.must_go()).await;
 }
 
 /// Ends a connection in good order: no more from us, then what the other side has on its way.
--- a/crates/larklink-proxy/src/pending.rs
+++ b/crates/larklink-proxy/src/pending.rs
@@ -117,6 +117,7 @@
                     let may_send = || waits() && permit.take();
                     let (timeout, figures) = (self.connect_timeout, &self.figures);
                     let work = async {
+                        self.limiter.settled().await;
                         Ok(match address {
                             Some(to) => {
                                 dial(to, &mut slices, until, timeout, may_begin, may_send, figures).await
@@ -205,6 +206,7 @@
                 return Err(Reason::TornDown);
             };
             room.then_some(()).ok_or(Reason::NoRoom)?;
+            self.limiter.settled().await;
             loop {
                 let mut slices = [std::io::IoSlice::new(line)];
                 let waits = || waits_still(stream.get_ref(), true);
--- a/crates/larklink-proxy/tests/endings.rs
+++ b/crates/larklink-proxy/tests/endings.rs
@@ -13,6 +13,8 @@
 use larklink_proxy::decisions::Owner;
 use larklink_proxy::events::{self, Event};
 use larklink_proxy::figures::Figures;
+use larklink_proxy::limiter::ConnectionLimiter;
+use larklink_proxy::probes::Probes;
 
 mod stage;
 use stage::peer::{PATIENCE, Peer, open};
@@ -140,7 +142,8 @@
     let figures = Figures::new(&config.settings.listeners);
     let (fresh, _first) = async_channel::bounded(1);
     let (settings, known) = (&config.settings, config.known.endpoints);
-    let owner = Owner::new(settings, 7, known, queue.clone(), Rc::clone(&executor), figures, fresh);
+    let probes = Rc::new(Probes::new(settings, queue.clone(), ConnectionLimiter::new(64)));
+    let owner = Owner::new(settings, 7, known, probes, Rc::clone(&executor), figures, fresh);
     let (sender, orders) = async_channel::unbounded();
     async_io::block_on(executor.run(async {
         for session in 0..SESSIONS as u32 {
