A change of the list is heard within 5.5 s of when it can be had, whatever fails

Cause, in discovery.rs: a watch waited for a quarter of must_ask_in whatever that was, and did so anew after each failure, so that three hung watches took 10 s by default and minutes by large settings; calls for the whole list were given the time of a watch (3 s each after SIGHUP, where what the agent has counts as told after 4); the time for an answer doubled from the first failure on, sixteen times in all, from 0 upwards where the settings are tiny, so that no list could be read there; a kept watch that was reset late was followed by a full one.

Paces derives all spans from the settings and heard_in adds them up: the call under way, its pause, what fails after it, the one that is answered. A watch waits for 1.9 s at most and for 0.1 s after a failure, a call without a wait has 0.1 to 0.4 s (twice as long for each failure beyond three, 2 s at most), pauses take 0.4 s at most and after a refusal by a shared service 0.95 s, growing with refusals only. The sum is 5.5 s at most for three failures in a row. What it costs: a shared service is asked for watches up to a third more often.

--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -17,18 +17,32 @@
 use crate::list::List;
 use crate::servers::within;
 
-/// A watch waits for this share of the time after which who has not asked counts as told.
+/// What discovery has counts as told so long after it had it and could be reached, whatever became of our calls: the
+/// operators' term (STANDING, T1). [`Paces::heard_in`] stays under it.
+pub const TOLD: Duration = Duration::from_secs(6);
+/// What a busy machine may take of that: the sums of our own waits leave it free.
+pub const SPARE: Duration = Duration::from_millis(500);
+/// A watch waits for this share of the time after which who has not asked counts as told, within these bounds.
 const WAIT: u32 = 4;
-/// How long an answer may take beyond the wait; making the connection too.
-const SLACK: Duration = Duration::from_millis(500);
-/// After a first failure the wait is drawn from up to so much, and after each further one from up to twice as much.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_millis(1900);
+/// How long the answer to a watch may take beyond its wait.
+const SLACK: Duration = Duration::from_millis(400);
+/// How long a call without a wait may take in all, the connection too, and an answer that has begun. Twice as long for
+/// each failure in a row beyond so many, where a machine or a service is too busy for that.
+const LEAST_CALL: Duration = Duration::from_millis(100);
+const CALL: Duration = Duration::from_millis(400);
+const LONGEST_CALL: Duration = Duration::from_secs(2);
+const QUICK: u32 = 3;
+/// After a first refusal the wait is drawn from up to so much, and after each further one from up to twice as much.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
-/// No pause takes more than this share of a drain's grace, nor does an answer that has begun: what the agent has counts
-/// as told at once, whatever comes of the call that should have brought it. It may hurt where an agent refuses for
-/// long: each proxy then asks it some ten times a second. Only where lists are asked for of a service that all proxies
-/// share do refusals lead to longer pauses. An answer may take twice as long after each that took too long.
+/// No pause takes more than this share of a drain's grace: what the agent has counts as told at once, whatever comes of
+/// the call that should have brought it. It may hurt where an agent refuses for long: each proxy then asks it some ten
+/// times a second. Only where lists are asked for of a service that all proxies share do refusals lead to longer pauses.
 const OF_GRACE: u32 = 4;
+/// No shorter share of a grace is gone by: the agent would be asked without end.
+const LEAST_SOON: Duration = Duration::from_millis(10);
 /// A watch that brings nothing new sooner than this is answered too early; it goes on for 200 ms.
 const EARLY: Duration = Duration::from_millis(100);
 const LONGEST_HEAD: usize = 16 << 10;
@@ -40,14 +54,10 @@
 pub async fn follow(
     mut agent: SocketAddr,
     moved: Receiver<SocketAddr>,
-    (must_ask_in, drain_grace): (Time, Time),
-    on_request: bool,
+    paces: Paces,
     queue: Queue,
     mut chance: ChaCha8Rng,
 ) {
-    let (wait, grace) = (span(must_ask_in) / WAIT, span(drain_grace));
-    let soon = if grace.is_zero() { FIRST_PAUSE } else { grace / OF_GRACE }.min(wait / 2);
-    let paces = Paces { wait, soon, refused: if on_request { wait / 2 } else { soon } };
     loop {
         let new = async {
             match moved.recv().await {
@@ -60,33 +70,113 @@
     }
 }
 
-/// How long a watch waits, and the longest pauses after an agent that was silent and after one that refused.
-struct Paces {
-    wait: Duration,
-    soon: Duration,
-    refused: Duration,
+/// The spans by which the list is followed, derived so that [`Paces::heard_in`] stays under [`TOLD`] whatever the
+/// settings say.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Paces {
+    /// How long a watch waits while nothing has failed.
+    pub wait: Duration,
+    /// How long a call without a wait may take as long as few have failed.
+    pub call: Duration,
+    /// The longest pause after a call that brought nothing.
+    pub soon: Duration,
+    /// The longest pause after one that was refused, or brought what cannot be read.
+    pub refused: Duration,
+}
+
+impl Paces {
+    /// From the settings: after how long who has not asked counts as told and how long a server that drains may still
+    /// be sent something, both in tenths of a millisecond, and whether lists are asked for of a shared service.
+    pub fn new(must_ask_in: Time, drain_grace: Time, on_request: bool) -> Self {
+        let wait = (span(must_ask_in) / WAIT).clamp(LEAST_WAIT, LONGEST_WAIT);
+        let grace = if drain_grace == 0 { FIRST_PAUSE * OF_GRACE } else { span(drain_grace) };
+        let soon = (grace / OF_GRACE).min(wait / 2).clamp(LEAST_SOON, FIRST_PAUSE);
+        // Pushed lists lie on this machine, and one that is silent is to be heard within the grace of its return.
+        let call = if on_request { CALL } else { (soon * 2).clamp(LEAST_CALL, CALL) };
+        Self { wait, call, soon, refused: if on_request { wait / 2 } else { soon } }
+    }
+
+    /// How long the agent may wait with its answer after so many failures in a row. While any has failed, hardly: the
+    /// answer shows whether it is there, and a call that hangs is given up before long.
+    pub fn wait_after(&self, failed: u32) -> Duration {
+        if failed == 0 { self.wait } else { LEAST_WAIT }
+    }
+
+    /// How long a call without a wait may take after so many failures in a row, and an answer once it has begun.
+    pub fn call_after(&self, failed: u32) -> Duration {
+        (self.call * 2u32.pow(failed.saturating_sub(QUICK).min(8))).min(LONGEST_CALL)
+    }
+
+    /// When a watch is given up.
+    pub fn watch_after(&self, failed: u32) -> Duration {
+        self.wait_after(failed) + if failed == 0 { SLACK } else { self.call_after(failed) }
+    }
+
+    /// The longest time from the moment in which discovery has a change and can be reached to the one in which it is
+    /// heard, when `before` calls in a row had failed by then and the call that is under way and each of the next fail,
+    /// `more` in all. The sum is made of
+    ///
+    /// - a rest after an answer that came early, and a kept connection that is found closed, each up to 0.1 s, where
+    ///   nothing had failed before;
+    /// - for each that fails all its time, the worst first one being a watch that has just begun and falls silent,
+    ///   and the longest pause, the worst being one after refusal upon refusal;
+    /// - all the time that the one may take that is answered.
+    ///
+    /// For any `n`, `heard_in(n, 1)` is what a call under way at that moment can cost, and `heard_in(0, 3)` what three
+    /// failures in a row after it can, in any order.
+    pub fn heard_in(&self, before: u32, more: u32) -> Duration {
+        let failure = |n: u32| {
+            let pause = match (before, n) {
+                // A watch that hangs for long was not refused.
+                (0, 0) => self.soon,
+                (0, n) => self.longest_pause(n),
+                (_, n) => self.longest_pause(n + 1),
+            };
+            self.watch_after(n) + pause
+        };
+        let first = if before == 0 { EARLY * 2 } else { Duration::ZERO };
+        let last = before + more;
+        first + (before..last).map(failure).sum::<Duration>() + self.call_after(last)
+    }
+
+    /// The longest pause after the `n`th refusal in a row.
+    fn longest_pause(&self, n: u32) -> Duration {
+        grown(n).min(self.refused).max(self.soon)
+    }
 }
 
 async fn watch(agent: SocketAddr, paces: &Paces, queue: &Queue, chance: &mut ChaCha8Rng) -> Infallible {
-    let (mut link, mut index, mut lost, mut failed): (Option<Kept>, _, _, u32) = (None, None, false, 0);
-    let Paces { wait, soon, refused } = *paces;
+    let (mut link, mut index, mut lost): (Option<Kept>, _, _) = (None, None, false);
+    // Calls in a row that failed, and how many of these were refused.
+    let (mut failed, mut refusals): (u32, u32) = (0, 0);
+    let mut thrown: Option<Instant> = None;
     loop {
-        let path = match index {
+        let (path, limit) = match index {
             // The whole list first: the one we were born with may be old.
-            None => "/api/targets".to_owned(),
-            Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
+            None => ("/api/targets".to_owned(), paces.call_after(failed)),
+            Some(index) => {
+                let wait = paces.wait_after(failed).as_millis();
+                (format!("/api/targets?after={index}&wait_ms={wait}"), paces.watch_after(failed))
+            }
         };
         let (kept, asked, last) = (link.take(), Instant::now(), index);
         let was_kept = kept.is_some();
-        let rest = soon * 2u32.saturating_pow(failed.min(4));
         let begun = Cell::new(false);
-        match within(wait + SLACK, get(agent, kept, &path, rest, &begun)).await {
-            // A kept connection may have been closed meanwhile, which says nothing of the agent.
-            Err(e) if was_kept && !begun.get() && e.kind() != ErrorKind::TimedOut => {}
+        let call = paces.call_after(failed);
+        match within(limit, get(agent, kept, &path, call, &begun)).await {
+            // A kept connection may have been closed meanwhile, which says nothing of the agent. Where that took a
+            // while, what comes next must not wait for long once more.
+            Err(e) if was_kept && !begun.get() && e.kind() != ErrorKind::TimedOut => {
+                failed += u32::from(asked.elapsed() >= EARLY);
+            }
             // A second answer to an earlier call, with what was true then: servers that drain would be ready again.
             Ok((list, _)) if was_kept && index.is_some_and(|last| list.snapshot && list.index < last) => {
                 tracing::warn!("discovery: the whole list as of {}, older than the one we have", list.index);
                 index = None;
+                // One that answers so each time is not to be asked without end.
+                if thrown.replace(asked).is_some_and(|at| at.elapsed() < EARLY) {
+                    Timer::after(EARLY).await;
+                }
             }
             Ok((list, again)) => {
                 link = again;
@@ -94,7 +184,7 @@
                     tracing::info!("discovery: heard again");
                 }
                 if list.snapshot || index.is_some_and(|last| list.index >= last) {
-                    (index, failed) = (Some(list.index), 0);
+                    (index, failed, refusals) = (Some(list.index), 0, 0);
                     let scope = if list.snapshot { Scope::Whole } else { Scope::Changes };
                     if list.snapshot || !list.endpoints.is_empty() {
                         queue.send(Event::List(scope, list.endpoints)).await;
@@ -107,8 +197,8 @@
                     // Changes to a list that we do not have: the whole of it is asked for.
                     tracing::warn!("discovery: changes up to {}, older than the list we have", list.index);
                     index = None;
-                    failed += 1;
-                    Timer::after(pause(failed, refused, chance)).await;
+                    (failed, refusals) = (failed + 1, refusals + 1);
+                    Timer::after(pause(refusals, paces.refused, chance)).await;
                 }
             }
             Err(e) => {
@@ -118,8 +208,10 @@
                 }
                 queue.send(Event::ListFailed).await;
                 failed += 1;
-                let most = if e.kind() == ErrorKind::InvalidData { refused } else { soon };
-                Timer::after(pause(failed, most, chance)).await;
+                let refused = e.kind() == ErrorKind::InvalidData;
+                refusals += u32::from(refused);
+                let (failures, most) = if refused { (refusals, paces.refused) } else { (failed, paces.soon) };
+                Timer::after(pause(failures, most, chance)).await;
             }
         }
     }
@@ -128,24 +220,27 @@
 /// How long to wait after so many failures in a row, drawn by chance: proxies that lost discovery together must
 /// not come back together, nor ask as often as ever of a service that has more to do than it can. No more than `most`.
 pub fn pause(failed: u32, most: Duration, chance: &mut ChaCha8Rng) -> Duration {
-    let grown = (FIRST_PAUSE * 2u32.saturating_pow(failed.saturating_sub(1).min(16))).min(most);
-    LEAST_PAUSE.min(most / 2).max(grown.mul_f64(chance.random()))
+    LEAST_PAUSE.min(most / 2).max(grown(failed).min(most).mul_f64(chance.random()))
+}
+
+fn grown(failed: u32) -> Duration {
+    FIRST_PAUSE * 2u32.pow(failed.saturating_sub(1).min(16))
 }
 
 type Kept = Async<TcpStream>;
 
-/// One call; also the connection, if it is good for another. An answer that has `begun` is whole within `rest`, or is
-/// given up: one that never ends must not keep us from what the agent has since.
+/// One call; also the connection, if it is good for another. The connection is made, and an answer that has `begun` is
+/// whole, within `call`, or it is given up: one that never ends must not keep us from what the agent has since.
 async fn get(
     agent: SocketAddr,
     kept: Option<Kept>,
     path: &str,
-    rest: Duration,
+    call: Duration,
     begun: &Cell<bool>,
 ) -> Result<(List, Option<Kept>)> {
     let mut stream = match kept {
         Some(kept) => kept,
-        None => within(SLACK, Async::<TcpStream>::connect(agent)).await?,
+        None => within(call, Async::<TcpStream>::connect(agent)).await?,
     };
     let ask = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
     stream.write_all(ask.as_bytes()).await?;
@@ -164,7 +259,7 @@
             }
         }
     };
-    let (list, keep) = within(rest, answer).await?;
+    let (list, keep) = within(call, answer).await?;
     Ok((list, keep.then_some(stream)))
 }
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -18,7 +18,7 @@
 use crate::config::Config;
 use crate::console;
 use crate::decisions::Owner;
-use crate::discovery;
+use crate::discovery::{self, Paces};
 use crate::events;
 use crate::figures::Figures;
 use crate::handover::{Handover, Old};
@@ -86,8 +86,9 @@
         fresh,
     );
     executor.spawn(owner.run(events)).detach();
-    let (spans, asks) = ((facts.settings.must_ask_in, facts.settings.drain_grace), facts.settings.on_request);
-    let watch = discovery::follow(config.discovery, moved, spans, asks, queue.clone(), chance(1));
+    let set = &facts.settings;
+    let paces = Paces::new(set.must_ask_in, set.drain_grace, set.on_request);
+    let watch = discovery::follow(config.discovery, moved, paces, queue.clone(), chance(1));
     executor.spawn(watch).detach();
     let room = Room::new(sockets - reserved);
     let (open, closed) = async_channel::bounded(1);
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -2,6 +2,7 @@
 //! line or an end that must come; nothing sleeps.
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +15,15 @@
 struct Program(Child);
 
 impl Program {
+    /// Also the rest of its log, and its address.
+    fn start(config: &Path) -> (Self, impl Iterator<Item = String>, SocketAddr) {
+        let child = Command::new(env!("CARGO_BIN_EXE_larklink")).arg(config).stderr(Stdio::piped()).spawn();
+        let mut program = Self(child.unwrap());
+        let mut log = BufReader::new(program.0.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let address = log.find_map(|l| l.split_once("listen=").map(|(_, at)| at.parse().unwrap())).unwrap();
+        (program, log, address)
+    }
+
     fn hang_up(&self) {
         let pid = rustix::process::Pid::from_child(&self.0);
         rustix::process::kill_process(pid, rustix::process::Signal::HUP).unwrap();
@@ -501,11 +511,7 @@
     let ((first, a), (second, b), (agent, old), (other, new)) = (server(), server(), server(), server());
     let path = std::env::temp_dir().join(format!("larklink-{}.json", std::process::id()));
     std::fs::write(&path, config(&[a], old, "proxy", 1024)).unwrap();
-    let program = Command::new(env!("CARGO_BIN_EXE_larklink")).arg(&path).stderr(Stdio::piped()).spawn();
-    let mut program = Program(program.unwrap());
-    let mut log = BufReader::new(program.0.stderr.take().unwrap()).lines().map_while(Result::ok);
-    let started = log.find_map(|l| l.split_once("listen=").map(|(_, at)| at.parse().unwrap()));
-    let address: SocketAddr = started.unwrap();
+    let (program, mut log, address) = Program::start(&path);
     let mut watch = Peer::accept(&agent);
     asked(&mut watch);
     told(&mut watch, &list(41, true, &[endpoint("s-0", a, "up")]));
@@ -549,6 +555,33 @@
     std::fs::remove_file(&path).unwrap();
 }
 
+/// What the new address has counts as told four seconds after SIGHUP, also if it has not answered once: each call that
+/// hung there was waited for for three.
+#[test]
+fn a_drain_at_the_new_address_before_its_first_answer_is_heard_in_time() {
+    let ((first, a), (agent, old), (other, new)) = (server(), server(), server());
+    let path = std::env::temp_dir().join(format!("larklink-hup-{}.json", std::process::id()));
+    std::fs::write(&path, config(&[a], old, "proxy", 1024)).unwrap();
+    let (program, _log, address) = Program::start(&path);
+    let mut watch = Peer::accept(&agent);
+    asked(&mut watch);
+    told(&mut watch, &list(41, true, &[endpoint("s-0", a, "up")]));
+    asked(&mut watch);
+    let (mut client, _server) = standing(address, &first);
+    std::fs::write(&path, config(&[a], new, "proxy", 1024)).unwrap();
+    let begun = Instant::now();
+    program.hang_up();
+    watch.ends();
+    let silent: Vec<_> = (0..2).map(|_| Peer::accept(&other)).collect();
+    let mut watch = Peer::accept(&other);
+    assert_eq!(asked(&mut watch), "/api/targets");
+    told(&mut watch, &list(3, true, &[endpoint("s-0", a, "draining")]));
+    assert_eq!(client.hear(), "MOVE\r\n");
+    assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+    drop(silent);
+    std::fs::remove_file(&path).unwrap();
+}
+
 /// One of each kind of end, against what the servers and clients of this test saw: for each listener accepted,
 /// refused, failed; then tries, sessions in progress, servers.
 #[test]
