A kept list that cannot be read is left out where it cannot, and the process starts

Cause: Config reads `known` as strictly as the settings, so a null, a missing list or one entry without a name (config.rs, known: List) ended the process at its start, though discovery has the list anyway. Now what can be read of it counts, entry by entry, and each that is left out is warned of with its place and reason.

--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -5,9 +5,10 @@
 
 use larklink_core::settings::Facts;
 use serde::{Deserialize, Deserializer, de::Error};
+use serde_json::Value;
 
 use crate::lines;
-use crate::list::List;
+use crate::list::Endpoint;
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
@@ -22,9 +23,8 @@
     pub seed: u64,
     #[serde(default)]
     pub limits: Limits,
-    /// The list of servers as this proxy last had it; it may be old.
     #[serde(default)]
-    pub known: List,
+    pub known: Known,
     pub settings: Facts,
 }
 
@@ -40,6 +40,34 @@
     }
 }
 
+/// The list of servers as this proxy last had it; it may be old. What of it cannot be read is left out: discovery has the
+/// list, and a process that did not start for it would serve nobody.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(from = "Value")]
+pub struct Known {
+    pub endpoints: Vec<Endpoint>,
+    /// What was left out, each with its place and reason.
+    pub left_out: Vec<String>,
+}
+
+impl From<Value> for Known {
+    fn from(mut list: Value) -> Self {
+        let mut known = Self::default();
+        match list.get_mut("endpoints").map(Value::take) {
+            Some(Value::Array(all)) => {
+                for (at, one) in all.into_iter().enumerate() {
+                    match Endpoint::deserialize(one) {
+                        Ok(one) => known.endpoints.push(one),
+                        Err(e) => known.left_out.push(format!("known.endpoints[{at}]: {e}")),
+                    }
+                }
+            }
+            _ => known.left_out.push("known.endpoints: no list of servers".into()),
+        }
+        known
+    }
+}
+
 fn hex<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
     let text = String::deserialize(d)?;
     lines::hex(&text).ok_or_else(|| D::Error::custom(format!("seed {text:?} is not a hex number")))
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -65,6 +65,9 @@
     let (queue, events) = events::queue();
     let facts = config.settings;
     let mut known = config.known.endpoints;
+    for left_out in config.known.left_out {
+        tracing::warn!("of the list that was kept some is left out: {left_out}");
+    }
     if let Some(old) = old.as_ref().filter(|old| !old.list.is_empty()) {
         known.clone_from(&old.list);
     }
