A new process waits for three seconds at most for another that was faster and hangs

Cause: Handover::take asked the old process again and again, without end, after it had been told that another had taken over; if that one hung before it opened its place, nobody was ever ready. It may hurt where the one that hung wakes up: both take connections then.

--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -14,7 +14,7 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -31,6 +31,10 @@
 /// How often an old process looks at what it still holds.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// How long a new process waits for another that was faster to serve. It opens its place at once when it does; one that
+/// hangs before would leave nobody ready. It may hurt where that one wakes up again: both take connections then.
+const RIVAL: Duration = Duration::from_secs(3);
+
 /// Where the processes of a proxy meet; nowhere unless the operators' door is on, since only then may there be two.
 pub fn place(config: &Config, folder: Option<PathBuf>) -> Option<PathBuf> {
     config.console?;
@@ -105,9 +109,14 @@
             let _ = old.ear.hear().await;
         };
         fresh.or(goes).await;
+        let until = Instant::now() + RIVAL;
         loop {
             match self.ask(&mut old).await {
                 Ok(true) => break,
+                Ok(false) if Instant::now() >= until => {
+                    tracing::warn!("the process that was faster never serves: takes connections beside it");
+                    break;
+                }
                 // Another process was faster: that one is the old one now, once it can be met.
                 Ok(false) => match meet(&self.place).await {
                     Ok(Some((_, next))) => old = next,
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -347,6 +348,33 @@
     }
 }
 
+/// It asked again and again, twenty times a second, for as long as the other hung.
+#[test]
+fn who_is_told_that_another_was_faster_is_ready_even_if_that_one_never_serves() {
+    let server = echoes();
+    let proxy = Proxy::new("rival", "proxy", server, agent(server));
+    let place = UnixListener::bind(proxy.place()).unwrap();
+    let door = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    door.set_reuse_port(true).unwrap();
+    door.bind(&proxy.listen.into()).unwrap();
+    door.listen(1).unwrap();
+    thread::spawn(move || {
+        for met in place.incoming() {
+            let (mut ear, mouth) = talk(async_io::Async::new(met.unwrap()).unwrap());
+            async_io::block_on(async {
+                let offer = Reply::Offer { version: VERSION, list: Vec::new() };
+                let _ = mouth.say(&offer, &[door.as_fd()]).await;
+                if ear.hear().await.is_ok() {
+                    let _ = mouth.say(&Reply::Taken, &[]).await;
+                }
+            });
+        }
+    });
+    let process = proxy.start().gets_ready();
+    process.says("never serves");
+    goes_on(&mut stands(&proxy));
+}
+
 /// Somebody who comes to the meeting place and says nonsense or nothing, leaves or stays, changes nothing.
 #[test]
 fn who_is_met_by_nonsense_serves_on() {
