A first call for the list may take as long as a watch, after SIGHUP as one after a failure

The sum allows a first call all the time of a watch; after SIGHUP, where 4 s count, it starts as if one call had failed, 3.15 s at most for two failures. A second answer that came late counts as a failure in the spans after it, like a kept connection that was reset late.

--- a/crates/larklink-proxy/src/discovery.rs
+++ b/crates/larklink-proxy/src/discovery.rs
@@ -28,8 +28,9 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(1900);
 /// How long the answer to a watch may take beyond its wait.
 const SLACK: Duration = Duration::from_millis(400);
-/// How long a call without a wait may take in all, the connection too, and an answer that has begun. Twice as long for
-/// each failure in a row beyond so many, where a machine or a service is too busy for that.
+/// How long a call may take beyond its wait once another has failed, and on any call the connection, and the rest of an
+/// answer that has begun. Twice as long for each failure in a row beyond so many, where a machine or a service is too
+/// busy for that.
 const LEAST_CALL: Duration = Duration::from_millis(100);
 const CALL: Duration = Duration::from_millis(400);
 const LONGEST_CALL: Duration = Duration::from_secs(2);
@@ -58,6 +59,9 @@
     queue: Queue,
     mut chance: ChaCha8Rng,
 ) {
+    // What a new address has counts as told four seconds after SIGHUP: its first call is waited for like one after a
+    // failure.
+    let mut failed = 0;
     loop {
         let new = async {
             match moved.recv().await {
@@ -65,8 +69,8 @@
                 Err(_) => future::pending().await,
             }
         };
-        let old = async { match watch(agent, &paces, &queue, &mut chance).await {} };
-        agent = new.or(old).await;
+        let old = async { match watch(agent, failed, &paces, &queue, &mut chance).await {} };
+        (agent, failed) = (new.or(old).await, 1);
     }
 }
 
@@ -76,7 +80,7 @@
 pub struct Paces {
     /// How long a watch waits while nothing has failed.
     pub wait: Duration,
-    /// How long a call without a wait may take as long as few have failed.
+    /// How long a call without a wait may take as long as few have failed, and an answer that has begun.
     pub call: Duration,
     /// The longest pause after a call that brought nothing.
     pub soon: Duration,
@@ -102,12 +106,13 @@
         if failed == 0 { self.wait } else { LEAST_WAIT }
     }
 
-    /// How long a call without a wait may take after so many failures in a row, and an answer once it has begun.
+    /// How long a call without a wait may take after so many failures in a row, and a connection or an answer that has
+    /// begun on any.
     pub fn call_after(&self, failed: u32) -> Duration {
         (self.call * 2u32.pow(failed.saturating_sub(QUICK).min(8))).min(LONGEST_CALL)
     }
 
-    /// When a watch is given up.
+    /// When a call is given up.
     pub fn watch_after(&self, failed: u32) -> Duration {
         self.wait_after(failed) + if failed == 0 { SLACK } else { self.call_after(failed) }
     }
@@ -145,25 +150,32 @@
     }
 }
 
-async fn watch(agent: SocketAddr, paces: &Paces, queue: &Queue, chance: &mut ChaCha8Rng) -> Infallible {
+/// Counts the calls in a row that `failed`.
+async fn watch(
+    agent: SocketAddr,
+    mut failed: u32,
+    paces: &Paces,
+    queue: &Queue,
+    chance: &mut ChaCha8Rng,
+) -> Infallible {
     let (mut link, mut index, mut lost): (Option<Kept>, _, _) = (None, None, false);
-    // Calls in a row that failed, and how many of these were refused.
-    let (mut failed, mut refusals): (u32, u32) = (0, 0);
+    // How many of those that failed were refused.
+    let mut refusals: u32 = 0;
     let mut thrown: Option<Instant> = None;
     loop {
-        let (path, limit) = match index {
+        let path = match index {
             // The whole list first: the one we were born with may be old.
-            None => ("/api/targets".to_owned(), paces.call_after(failed)),
+            None => "/api/targets".to_owned(),
             Some(index) => {
-                let wait = paces.wait_after(failed).as_millis();
-                (format!("/api/targets?after={index}&wait_ms={wait}"), paces.watch_after(failed))
+                format!("/api/targets?after={index}&wait_ms={}", paces.wait_after(failed).as_millis())
             }
         };
         let (kept, asked, last) = (link.take(), Instant::now(), index);
         let was_kept = kept.is_some();
         let begun = Cell::new(false);
         let call = paces.call_after(failed);
-        match within(limit, get(agent, kept, &path, call, &begun)).await {
+        // A first call for the whole list may take as long as a watch: an agent may be as busy as we are at the start.
+        match within(paces.watch_after(failed), get(agent, kept, &path, call, &begun)).await {
             // A kept connection may have been closed meanwhile, which says nothing of the agent. Where that took a
             // while, what comes next must not wait for long once more.
             Err(e) if was_kept && !begun.get() && e.kind() != ErrorKind::TimedOut => {
@@ -172,7 +184,7 @@
             // A second answer to an earlier call, with what was true then: servers that drain would be ready again.
             Ok((list, _)) if was_kept && index.is_some_and(|last| list.snapshot && list.index < last) => {
                 tracing::warn!("discovery: the whole list as of {}, older than the one we have", list.index);
-                index = None;
+                (index, failed) = (None, failed + u32::from(asked.elapsed() >= EARLY));
                 // One that answers so each time is not to be asked without end.
                 if thrown.replace(asked).is_some_and(|at| at.elapsed() < EARLY) {
                     Timer::after(EARLY).await;
--- a/crates/larklink-proxy/tests/discovery.rs
+++ b/crates/larklink-proxy/tests/discovery.rs
@@ -29,6 +29,8 @@
             let of = format!("must_ask_in {must_ask_in}, drain_grace {grace}, {on_request}: {paces:?}");
             assert!((0..40).all(|failed| paces.heard_in(failed, 1) <= most), "{of}");
             assert!(paces.heard_in(0, 3) <= most, "{of}");
+            // After SIGHUP, as if one had failed before.
+            assert!(paces.heard_in(1, 2) <= Duration::from_secs(4) - SPARE, "{of}");
             // Each order of three that hang or are refused, as it goes: never over the sum.
             for order in 0..8 {
                 let (mut all, mut refusals) = (Duration::ZERO, 0);
--- a/crates/larklink-proxy/tests/loopback.rs
+++ b/crates/larklink-proxy/tests/loopback.rs
@@ -576,8 +576,9 @@
     let mut watch = Peer::accept(&other);
     assert_eq!(asked(&mut watch), "/api/targets");
     told(&mut watch, &list(3, true, &[endpoint("s-0", a, "draining")]));
-    assert_eq!(client.hear(), "MOVE\r\n");
+    assert!(asked(&mut watch).starts_with("/api/targets?after=3&"));
     assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+    assert_eq!(client.hear(), "MOVE\r\n");
     drop(silent);
     std::fs::remove_file(&path).unwrap();
 }
