The probe in the flood is counted by the flood itself, not by a thread that may wait

The flood's thread now holds the probe, which is queued before the process starts, and notes its own count as the answer comes.

--- a/crates/larklink-proxy/tests/readiness.rs
+++ b/crates/larklink-proxy/tests/readiness.rs
@@ -1,8 +1,8 @@
 //! A process that starts is ready long before the ten seconds that nine in ten have, in the worst surroundings.
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, OnceLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -12,10 +12,12 @@
 
 const READY: Duration = Duration::from_secs(5);
 
-/// Clients that probe without end and read each answer, until told to stop.
+/// Clients that probe without end and read each answer, until told to stop; and, connected behind them, one that probes
+/// once.
 struct Flood {
     stop: Arc<AtomicBool>,
-    answers: Arc<AtomicUsize>,
+    /// How many answers the others had before that one had its own, once it has.
+    before: Arc<OnceLock<usize>>,
     thread: JoinHandle<()>,
 }
 
@@ -23,26 +25,33 @@
     const CLIENTS: usize = 600;
 
     fn new(to: SocketAddr) -> Self {
-        let (stop, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let (stopping, counted) = (Arc::clone(&stop), Arc::clone(&answers));
+        let (stop, before) = (Arc::new(AtomicBool::new(false)), Arc::new(OnceLock::new()));
+        let (stopping, counted) = (Arc::clone(&stop), Arc::clone(&before));
         let mut all: Vec<_> = (0..Self::CLIENTS).map(|_| TcpStream::connect(to).unwrap()).collect();
         let lines = "PING\r\n".repeat(500);
         for one in &mut all {
             one.write_all(lines.as_bytes()).unwrap();
             one.set_nonblocking(true).unwrap();
         }
+        let mut once = TcpStream::connect(to).unwrap();
+        once.write_all(b"PING\r\n").unwrap();
+        once.set_nonblocking(true).unwrap();
         let thread = thread::spawn(move || {
+            let mut answers = 0;
             let mut bytes = vec![0; 64 << 10];
             while !stopping.load(Relaxed) {
                 for one in &mut all {
+                    if counted.get().is_none() && once.read(&mut bytes).is_ok() {
+                        let _ = counted.set(answers);
+                    }
                     if let Ok(n) = one.read(&mut bytes) {
-                        counted.fetch_add(n / "PONG\r\n".len(), Relaxed);
+                        answers += n / "PONG\r\n".len();
                         let _ = one.write(lines.as_bytes());
                     }
                 }
             }
         });
-        Self { stop, answers, thread }
+        Self { stop, before, thread }
     }
 
     fn ends(self) {
@@ -123,8 +132,11 @@
     let proxy = serve_at(door, &config);
     let mut probe = Peer::connect(to, "PING\r\n");
     assert_eq!(probe.hear(), "PONG\r\n");
-    let before = flood.as_ref().map_or(0, |flood| flood.answers.load(Relaxed));
-    assert!(before < 40 * Flood::CLIENTS, "{before} answers went to others first");
+    if let Some(flood) = &flood {
+        becomes(|| flood.before.get().is_some());
+        let before = flood.before.get().unwrap();
+        assert!(*before < 40 * Flood::CLIENTS, "{before} answers went to others first");
+    }
     if let Some(tells) = tells {
         tells.join().unwrap();
     }
