--- a/crates/larklink-proxy/src/limiter.rs
+++ b/crates/larklink-proxy/src/limiter.rs
@@ -90,6 +90,11 @@
         Some(permit)
     }
 
+    /// Whether the next one to enter makes another give way, or gets no permit.
+    pub fn is_full(&self) -> bool {
+        self.free() <= 0
+    }
+
     /// Descriptors that clients and their servers hold here.
     pub fn held(&self) -> usize {
         usize::try_from(self.clients.get()).unwrap_or(0)
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -18,7 +18,7 @@
 use crate::config::Config;
 use crate::console;
 use crate::decisions::Owner;
-use crate::discovery;
+use crate::discovery::{self, Paces};
 use crate::events;
 use crate::figures::Figures;
 use crate::handover::{Handover, Old};
@@ -30,6 +30,8 @@
 const RESERVED: usize = 32;
 /// After a failure to accept, as with no descriptors left.
 const BREATHE: Duration = Duration::from_millis(20);
+/// Connections that are taken before others run again, as long as there is room.
+const AT_ONCE: usize = 32;
 /// New connections go on coming for so long after a stop was asked for, at most; then none is taken.
 const STILL_COMING: Duration = Duration::from_millis(600);
 /// The last of them has its answer by the longest dial timeout from then on, as far as that is waited for.
@@ -63,6 +65,9 @@
     let (queue, events) = events::queue();
     let facts = config.settings;
     let mut known = config.known.endpoints;
+    for left_out in config.known.left_out {
+        tracing::warn!("of the list that was kept some is left out: {left_out}");
+    }
     if let Some(old) = old.as_ref().filter(|old| !old.list.is_empty()) {
         known.clone_from(&old.list);
     }
@@ -79,8 +84,9 @@
     let owner =
         Owner::new(&facts, config.seed, known, probes, Rc::clone(&executor), Arc::clone(&figures), fresh);
     executor.spawn(owner.run(events)).detach();
-    let (spans, asks) = ((facts.settings.must_ask_in, facts.settings.drain_grace), facts.settings.on_request);
-    let watch = discovery::follow(config.discovery, moved, spans, asks, queue.clone(), chance(1));
+    let set = &facts.settings;
+    let paces = Paces::new(set.must_ask_in, set.drain_grace, set.on_request);
+    let watch = discovery::follow(config.discovery, moved, paces, queue.clone(), chance(1));
     executor.spawn(watch).detach();
     let (open, closed) = async_channel::bounded(1);
     let front = Rc::new(Front {
@@ -121,6 +127,7 @@
         None => clients::turn_away(&stream),
     };
     let accept = async {
+        let mut at_once = 0;
         loop {
             let turn = async {
                 match turns.recv().await {
@@ -138,9 +145,14 @@
                 Err(now) => takes = now,
                 Ok(Ok((stream, _))) => {
                     admit(stream);
-                    // Who gives way is to have closed before the next one comes.
+                    // Who gives way is to have closed before the next one comes. Else many are taken at once: in a
+                    // flood others run two hundred times before this does again, and the queue would be left full.
                     front.limiter.settled().await;
-                    future::yield_now().await;
+                    at_once += 1;
+                    if at_once >= AT_ONCE || front.limiter.is_full() {
+                        at_once = 0;
+                        future::yield_now().await;
+                    }
                 }
                 Ok(Err(e)) => {
                     tracing::warn!("accept: {e}");
