A jam of the session store ends with its cause: fresh processes begin with a small window

On a rolling restart of the full fleet each process starts with an endless window and took a late dial for no sign of the store where something can be probed (`settled`: `fails`).

Now the window begins with a proxy's share of 300 dials and opens by prompt set-ups, only while it is used. Late dials and set-ups that took a third of their client's patience draw it in, on two servers in turn with no prompt set-up between; after a late one a proxy keeps a share of ten dials of the fleet. Where no proxies are told, and something can be probed, all is as before but for a prompt set-up between two errors.

Test: `store_jam.rs`, 30 and 300 instances of the module before a store of 120 set-ups a second with a queue in order, one server in twenty hung, all restarted in turn, clients that come again nine times. 20 seeds, dial timeouts of 0.9 and 3.2 s: at least 0.9 of what the store bears over any 3 s from 5 s after the last restart on. Without the change: nothing from the second after the first restart until the end.

Tried on the model and not enough by itself: each late dial counted, with or without success between; a fresh window without long set-ups drawing it in; windows below a dial paced by time; each late dial leaving 0.7. Long set-ups that cut an endless window, without a fresh one: the jam stays.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -60,8 +60,12 @@
 const FORGET: f64 = 0.1;
 /// An error of the session store leaves this share of the dials out.
 const CUT: f64 = 0.7;
-/// Yet the window stays above this share of a dial, which is that chance of one: a proxy in hundreds.
+/// Yet the window stays above this share of a dial, the chance of one; or a proxy's share of so many.
 const FLOOR: f64 = 0.02;
+const TRICKLE: f64 = 10.0;
+/// It begins with a proxy's share of so many: restarted ones kept a full store full. It may hurt where
+/// thousands of sessions come at once to a fleet that has just started.
+const FIRST: f64 = 300.0;
 /// Load notes over which the mean load of a session is taken; a listener's over its root.
 const MEMORY: f64 = 256.0;
 /// Pairs of one group and pairs in all that are supposed to have been seen before any is: a proxy of a few
@@ -269,6 +273,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         Self {
             rows: set.listeners.iter().map(|l| Row { listener: *l, load: 1.0 }).collect(),
+            window: FIRST / f64::from(set.proxies),
             next_ask: if set.on_request { now } else { Time::MAX },
             // Proxies that start together do not look after the servers in step.
             next_round: now + rng.random_range(0..=set.connect_timeout),
@@ -288,7 +293,6 @@
             full: 0.0,
             came: now,
             out: 0.0,
-            window: f64::INFINITY,
             hope: 1.0,
             failed_at: None,
             taken: VecDeque::new(),
@@ -372,16 +376,8 @@
             sess.may_have_run.get_or_insert((server, sess.sent));
         }
         self.let_go(server, load, phase);
-        // Errors on two servers in turn point at the session store behind all of them, which every further
-        // dial only loads: fewer dials at once. One server alone does not; time-outs only say that it lasts,
-        // but where nothing can be probed they are the first word. It may hurt while two servers hang.
-        let fails =
-            how == Outcome::Error || how == Outcome::Late && (!self.set.probing || self.window.is_finite());
-        if fails && self.failed_at.replace(server).is_some_and(|last| last != server) {
-            if self.window.is_infinite() {
-                self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
-            }
-            self.window = (self.window.min(self.out + 1.0) * CUT).max(FLOOR);
+        if matches!(how, Outcome::Error | Outcome::Late) {
+            self.behind(server, how);
         }
         self.servers[server].ended(now, how, false);
         if how == Outcome::Unsent && dials > 1 {
@@ -400,10 +396,33 @@
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
         self.out -= 1.0;
-        // One that took long shows that the store is behind: with more dials all would wait longer.
-        let prompt = self.set.probing || (now - sess.sent) * 3 < sess.ask.patience;
-        self.window += if prompt { self.window.min(1.0 / self.window) } else { 0.0 };
-        self.servers[sess.server].heard(now);
+        let (server, prompt) = (sess.server, (now - sess.sent) * 3 < sess.ask.patience);
+        self.servers[server].heard(now);
+        if !prompt {
+            return self.behind(server, Outcome::Accepted);
+        }
+        // Only a window that is used opens, else a crowd finds it wide after a calm.
+        let used = self.out + 1.0 >= self.window;
+        self.window += if used { self.window.min(1.0 / self.window) } else { 0.0 };
+        self.failed_at = None;
+    }
+
+    /// Errors and set-ups that took long, on two servers in turn and none prompt between, point at the session
+    /// store behind all of them, which every further dial only loads: fewer dials at once; after a late one no
+    /// more than a trickle, as a store works on for each. One server alone does not; nor time-outs where they
+    /// can be probed and no proxies are told. It may hurt while two hang.
+    fn behind(&mut self, server: ServerIx, how: Outcome) {
+        let counts = how == Outcome::Error || !self.set.probing || self.window.is_finite();
+        if !counts || self.failed_at.replace(server).is_none_or(|last| last == server) {
+            return;
+        }
+        let (told, all) = (self.set.proxies > 0, f64::from(self.set.proxies));
+        let (floor, share) = if told { (TRICKLE / all, 0.0) } else { (FLOOR, CUT) };
+        let share = if how == Outcome::Late { share } else { CUT };
+        let window = (self.window.min(self.out + 1.0) * share).max(floor);
+        if std::mem::replace(&mut self.window, window) > window && window == floor {
+            self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
+        }
     }
 
     /// The client has left, or was moved: the session is over.
--- /dev/null
+++ b/crates/larklink/tests/store_jam.rs
@@ -0,0 +1,267 @@
+//! A session store that all servers share, behind a fleet whose proxies are restarted in turn: it bears a told rate,
+//! serves its queue in order, and works on for dials whose clients have gone. Clients that are refused or late come again
+//! a bounded number of times, and new ones keep coming. Each restarted proxy knows nothing of the jam that it meets.
+use std::collections::BTreeSet;
+
+use larklink::balancer::Balancer;
+use larklink::types::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SECOND: Time = 10_000;
+/// Set-ups a second that the store bears.
+const BEARS: u64 = 120;
+const SERVERS: usize = 40;
+/// Each of so many servers hangs all day.
+const HANGS: usize = 20;
+/// So many sessions stand at first, and new ones come at this share of what the store bears, all day.
+const STAND: usize = 3000;
+const COME: f64 = 1.3;
+/// A client that is refused or late comes again so often.
+const TRIES: u32 = 10;
+/// A tenth of the proxies is stopped each step, which reaches all in ten.
+const STEP: Time = 16 * SECOND / 10;
+const BEGIN: Time = 20 * SECOND;
+const LAST: Time = BEGIN + 9 * STEP;
+const END: Time = LAST + 15 * SECOND;
+
+fn settings(proxies: usize, dial_timeout: Time) -> Settings {
+    Settings {
+        listeners: vec![Listener {
+            kind: Kind::Repeatable,
+            handshake_target: dial_timeout / 3,
+            utility: 1.0,
+        }],
+        proxies: proxies as u32,
+        drain_grace: SECOND / 7,
+        start_capacity: 0.3,
+        cold: 8 * SECOND,
+        fall_multiple: 2.0,
+        overload_for: SECOND * 7 / 10,
+        connect_timeout: SECOND / 5,
+        max_dials: 5,
+        max_retry_after: SECOND * 6 / 10,
+        retry_after: true,
+        probing: true,
+        dial_timeout,
+        message_target: 600,
+        ..Settings::default()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A client comes; so often before.
+    Comes(u32),
+    /// The store is through with a dial of this proxy's generation and session; else its client's time is over.
+    Through {
+        proxy: usize,
+        life: u32,
+        ix: SessIx,
+        dial: u32,
+    },
+    Over {
+        proxy: usize,
+        life: u32,
+        ix: SessIx,
+        dial: u32,
+    },
+    Probed {
+        proxy: usize,
+        life: u32,
+        server: ServerIx,
+    },
+    Round(usize),
+    Restart(usize),
+}
+
+struct Proxy {
+    b: Balancer,
+    life: u32,
+    /// Sessions by their handle: tries of the client before this one, and the number of their latest dial.
+    sessions: std::collections::BTreeMap<SessIx, (u32, u32)>,
+}
+
+struct Day {
+    set: Settings,
+    rng: ChaCha8Rng,
+    entries: Vec<Entry>,
+    fleet: Vec<Proxy>,
+    events: BTreeSet<(Time, u64, Event)>,
+    count: u64,
+    /// When the store is through with all that it was asked.
+    free: Time,
+    served: Vec<Time>,
+}
+
+impl Day {
+    fn at(&mut self, time: Time, event: Event) {
+        self.count += 1;
+        self.events.insert((time, self.count, event));
+    }
+
+    fn again(&mut self, now: Time, tries: u32, wait: Time) {
+        if tries + 1 < TRIES {
+            let own = self.rng.random_range(SECOND / 50..SECOND * 15 / 100);
+            // Seven in ten do as they are told.
+            let wait = if self.rng.random_bool(0.7) { wait.max(own) } else { own };
+            self.at(now + wait, Event::Comes(tries + 1));
+        }
+    }
+
+    fn does(&mut self, now: Time, p: usize, ix: SessIx, verdict: Verdict) {
+        let life = self.fleet[p].life;
+        match verdict {
+            Verdict::Dial { limit, server, .. } => {
+                let x = self.fleet[p].sessions.get_mut(&ix).expect("a session of ours");
+                x.1 += 1;
+                let dial = x.1;
+                // The way there and back and the server's own work take some milliseconds besides.
+                let hangs = server % HANGS == 0;
+                self.free = self.free.max(now) + if hangs { 0 } else { SECOND / BEARS };
+                let through = self.free + self.rng.random_range(30..60);
+                if through < now + limit && !hangs {
+                    self.at(through, Event::Through { proxy: p, life, ix, dial });
+                } else {
+                    self.at(now + limit, Event::Over { proxy: p, life, ix, dial });
+                }
+            }
+            Verdict::Wait => {}
+            Verdict::Refuse { retry_after } => {
+                let (tries, _) = self.fleet[p].sessions.remove(&ix).expect("a session of ours");
+                self.again(now, tries, retry_after);
+            }
+            Verdict::TearDown => {
+                let (tries, _) = self.fleet[p].sessions.remove(&ix).expect("a session of ours");
+                self.again(now, tries, 0);
+            }
+        }
+    }
+
+    fn chores(&mut self, now: Time, p: usize) {
+        let life = self.fleet[p].life;
+        for chore in self.fleet[p].b.chores(now) {
+            match chore {
+                Chore::Probe(server) => self.at(now + 20, Event::Probed { proxy: p, life, server }),
+                Chore::Tell(ix, verdict) => self.does(now, p, ix, verdict),
+                // Standing sessions that are moved are dialled anew by their clients.
+                Chore::Move(ix) => {
+                    if let Some((_, _)) = self.fleet[p].sessions.remove(&ix) {
+                        self.fleet[p].b.left(ix);
+                        self.again(now, 0, 0);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn restarted(&mut self, now: Time, p: usize) -> Proxy {
+        let mut b = Balancer::new(self.set.clone(), self.rng.random(), now);
+        b.heard_list(now, Scope::Cached, &self.entries);
+        let life = self.fleet.get(p).map_or(0, |old| old.life + 1);
+        Proxy { b, life, sessions: Default::default() }
+    }
+
+    fn ask(&mut self, again: bool) -> Session {
+        let (client_key, patience) = (self.rng.random(), self.set.dial_timeout);
+        Session { client_key, patience, again, ..Session::default() }
+    }
+
+    fn event(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Comes(tries) => {
+                let (p, ask) = (self.rng.random_range(0..self.fleet.len()), self.ask(false));
+                let (ix, verdict) = self.fleet[p].b.place(now, ask);
+                self.fleet[p].sessions.insert(ix, (tries, 0));
+                self.does(now, p, ix, verdict);
+                self.chores(now, p);
+            }
+            Event::Through { proxy, life, ix, dial } | Event::Over { proxy, life, ix, dial } => {
+                let x = &mut self.fleet[proxy];
+                if x.life != life || x.sessions.get(&ix).is_none_or(|s| s.1 != dial) {
+                    return;
+                }
+                if matches!(event, Event::Through { .. }) {
+                    x.b.stood(now, ix);
+                    self.served.push(now);
+                } else {
+                    let (tries, _) = x.sessions.remove(&ix).expect("just seen");
+                    x.b.settled(now, ix, Outcome::Late, true);
+                    self.again(now, tries, 0);
+                }
+                self.chores(now, proxy);
+            }
+            Event::Probed { proxy, life, server } => {
+                if self.fleet[proxy].life == life {
+                    let how = if server % HANGS == 0 { Outcome::Late } else { Outcome::Accepted };
+                    self.fleet[proxy].b.probed(now, server, how, 20, 0.3, 30.0);
+                    self.chores(now, proxy);
+                }
+            }
+            Event::Round(p) => {
+                self.chores(now, p);
+                self.at(now + SECOND / 5, Event::Round(p));
+            }
+            Event::Restart(p) => {
+                let new = self.restarted(now, p);
+                let old = std::mem::replace(&mut self.fleet[p], new);
+                // Its clients come again within a second, wherever they like.
+                for _ in old.sessions {
+                    let back = now + self.rng.random_range(SECOND * 6 / 100..SECOND * 9 / 10);
+                    self.at(back, Event::Comes(0));
+                }
+            }
+        }
+    }
+}
+
+/// Set-ups that were served in each second of a day, as shares of what the store bears.
+fn day(proxies: usize, dial_timeout: Time, seed: u64) -> Vec<f64> {
+    let (set, rng) = (settings(proxies, dial_timeout), ChaCha8Rng::seed_from_u64(seed));
+    let entry = |s| Entry { server: s, id: 77 + 1000 * s as u32, state: State::Ready, ..Entry::default() };
+    let entries = (0..SERVERS).map(entry).collect();
+    let (fleet, events, served) = (Vec::new(), BTreeSet::new(), Vec::new());
+    let mut d = Day { set, rng, entries, fleet, events, count: 0, free: 0, served };
+    for p in 0..proxies {
+        let new = d.restarted(0, p);
+        d.fleet.push(new);
+        d.at(d.count % 200 * 10, Event::Round(p));
+        d.at(BEGIN + (p * 10 / proxies) as Time * STEP, Event::Restart(p));
+    }
+    for n in 0..STAND {
+        let ask = d.ask(false);
+        let x = &mut d.fleet[n % proxies];
+        let ix = x.b.adopt(0, ask, n * 7 % SERVERS);
+        x.sessions.insert(ix, (0, 0));
+    }
+    let gap = (SECOND as f64 / (BEARS as f64 * COME)) as Time;
+    (0..BEGIN / gap / 2).for_each(|n| d.at(n * gap * 2, Event::Comes(0)));
+    (BEGIN / gap..END / gap).for_each(|n| d.at(n * gap, Event::Comes(0)));
+    while let Some((now, _, event)) = d.events.pop_first().filter(|e| e.0 < END) {
+        d.event(now, event);
+    }
+    let share = |from: Time| d.served.iter().filter(|t| (from..from + SECOND).contains(*t)).count() as f64;
+    (0..END / SECOND).map(|s| share(s * SECOND) / BEARS as f64).collect()
+}
+
+/// Reported from a rolling restart of the full fleet: restarted proxies took no late dial for a sign of the store, and
+/// what they sent kept its queue full until the day's end, ten seconds after the last restart.
+#[test]
+fn a_jam_that_restarts_begin_ends_with_them() {
+    let seconds = |from: Time, to: Time| (from / SECOND) as usize..(to / SECOND) as usize;
+    for (proxies, dial_timeout) in [(30, 9), (30, 32), (300, 9), (300, 32)] {
+        for seed in 1..=20 {
+            let served = day(proxies, dial_timeout * SECOND / 10, seed);
+            let name = format!(
+                "{proxies} proxies, dial timeout of {dial_timeout} tenths of a second, seed {seed}: {served:.2?}"
+            );
+            let mean = |s: std::ops::Range<usize>| served[s.clone()].iter().sum::<f64>() / s.len() as f64;
+            let calm = mean(seconds(3 * SECOND, BEGIN)) / COME * 2.0;
+            assert!(calm > 0.97, "{calm:.2} of those who come in the calm, {name}");
+            for from in seconds(LAST + 5 * SECOND, END - 2 * SECOND) {
+                assert!(mean(from..from + 3) >= 0.9, "{from} s, {name}");
+            }
+        }
+    }
+}
