A rehearsal of a rolling restart before one store, and goodput after it as a figure

Thirty daemons are restarted, three at a time, while four of eight servers drain and four others join cold, before one store of 80 calls a second that serves its queue in order; refused and moved clients come again up to ten times. The book is judged for goodput: sessions accepted in time over 2 s against the store's rate or what is offered, and from when after the last restart it is at nine tenths for good. `must.recovers` demands it, and a run too short to tell fails it. Faults take `together`: so many at a time.

--- a/crates/larklink-rehearse/src/plots.rs
+++ b/crates/larklink-rehearse/src/plots.rs
@@ -71,6 +71,9 @@
         );
     }
     page += "</table>";
+    if let Some(recovery) = &report.recovery {
+        let _ = write!(page, "<p>Goodput: {}.</p>", escape(&recovery.to_string()));
+    }
     for wrong in &report.unmet {
         let _ = write!(page, "<p class=bad>{}</p>", escape(wrong));
     }
--- a/crates/larklink-rehearse/src/report.rs
+++ b/crates/larklink-rehearse/src/report.rs
@@ -4,6 +4,7 @@
 use larklink_world::audit::{Answers, Breach, Findings, Shape};
 use larklink_world::book::{Answer, What};
 use larklink_world::faults::Band;
+use larklink_world::goodput::{Recovery, recovery};
 use larklink_world::scenario::Scenario;
 use larklink_world::world::World;
 use serde::Serialize;
@@ -98,6 +99,8 @@
     pub rows: Vec<Row>,
     /// What the proxies as they were got, and those of the moved shape.
     pub shapes: [Shape; 2],
+    /// What became of goodput after the last restart of a proxy.
+    pub recovery: Option<Recovery>,
     pub breaches: Vec<Breach>,
     /// What the scenario demands beside the rules, and was not so.
     pub unmet: Vec<String>,
@@ -156,6 +159,15 @@
                 unmet.push(format!("{share:.3} accepted at proxies of the {name} shape, {least} asked for"));
             }
         }
+        let recovery = recovery(scenario, &world.book);
+        if let Some(within) = scenario.must.recovers {
+            let unmet_by = |r: Recovery| r.unmet(within.0);
+            let too_late =
+                || Some("no proxy was started again in time to tell whether goodput comes back".into());
+            unmet.extend(
+                recovery.map_or_else(too_late, unmet_by).map(|wrong| format!("{wrong}, {within} asked for")),
+            );
+        }
         let slowest = rows.iter().map(|r| r.answer_ms.p99).fold(0.0, f64::max);
         if let Some(most) = scenario.must.answer_p99.filter(|most| slowest > most.0 as f64 / 10.0) {
             unmet.push(format!("answers within {slowest} ms for 99 in 100, {most} asked for"));
@@ -167,6 +179,7 @@
             service,
             rows,
             shapes: findings.shapes,
+            recovery,
             breaches: findings.breaches,
             unmet,
             daemons,
--- a/crates/larklink-world/src/lib.rs
+++ b/crates/larklink-world/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod explore;
 pub mod faults;
 pub mod front;
+pub mod goodput;
 pub mod list;
 pub mod register;
 pub mod scenario;
--- a/crates/larklink-world/src/scenario.rs
+++ b/crates/larklink-world/src/scenario.rs
@@ -309,8 +309,9 @@
     pub share: Option<f64>,
     /// Times slower, or one in so many.
     pub factor: Option<f64>,
-    /// Each of them so long after the one before.
+    /// Each of them so long after the one before; so many of them together, if that is given.
     pub apart: Option<Span>,
+    pub together: Option<usize>,
     /// Again so often, so many times in all.
     pub every: Option<Span>,
     pub times: Option<u32>,
@@ -328,6 +329,9 @@
     pub each_shape: Option<f64>,
     /// Time to the answer that 99 in 100 accepted sessions do not exceed.
     pub answer_p99: Option<Span>,
+    /// Within so long of the last restart of a proxy, goodput is at nine tenths of what the store bears, or of what is
+    /// offered if that is less, and stays there.
+    pub recovers: Option<Span>,
 }
 
 /// Something wrong in a scenario, at a line of its file.
@@ -451,6 +455,13 @@
                 wrong(top, key, "a share lies between 0 and 1".into());
             }
         }
+        let restarts = |f: &Spanned<Fault>| {
+            let f = f.get_ref();
+            matches!(f.what, Trouble::ProxyKilled | Trouble::ProxyStopped) && f.lasts.is_some()
+        };
+        if must.recovers.is_some() && !self.faults.iter().any(restarts) {
+            wrong(top, "must.recovers", "no proxy is stopped or killed and started again".into());
+        }
         if servers == 0 || servers > 500 {
             wrong(top, "servers", format!("{servers} servers: from 1 to 500 can be run"));
         }
@@ -552,6 +563,9 @@
         if f.factor.is_some_and(|x| !(x >= 1.0 && x.is_finite())) {
             wrong("factor", "1 or more".into());
         }
+        if f.together == Some(0) {
+            wrong("together", "one at least".into());
+        }
         if f.times.is_some_and(|t| t == 0 || t > 1000) {
             wrong("times", "from 1 to 1000".into());
         }
--- /dev/null
+++ b/crates/larklink-world/tests/rolling.rs
@@ -0,0 +1,162 @@
+//! Goodput after a restart: its figure on books written by hand, and the shipped rolling restart in simulated time, where
+//! the session store serves its queue in order and works at what is given up all the same.
+use larklink_world::book::{Answer, Ask, Book, What};
+use larklink_world::goodput::{Recovery, recovery};
+use larklink_world::scenario::Scenario;
+use larklink_world::simulate::{Run, run};
+use larklink_world::spans::SECOND;
+
+const SHIPPED: &str = include_str!("../../../rehearsals/rolling-restart.toml");
+/// The scenario's own demand.
+const WITHIN: u64 = 5 * SECOND;
+
+fn scenario(text: &str) -> Scenario {
+    Scenario::read(text).unwrap_or_else(|wrong| panic!("{wrong:?}"))
+}
+
+/// The shipped day with so many proxies, of which a tenth is restarted at a time, and such a dial timeout. Three hundred
+/// stand before a store three times as fast, with as many more clients: so each sees under one session a second.
+fn rolling(proxies: usize, dial_timeout: &str) -> Scenario {
+    let times = if proxies > 30 { 3 } else { 1 };
+    let changes = [
+        ("\ncount = 30\n", format!("\ncount = {proxies}\n")),
+        ("together = 3\n", format!("together = {}\n", proxies / 10)),
+        ("dial_timeout = \"900ms\"", format!("dial_timeout = {dial_timeout:?}")),
+        ("rate = 80.0\n", format!("rate = {}.0\n", 80 * times)),
+        ("rate = 40.0\n", format!("rate = {}.0\n", 40 * times)),
+        ("standing = 200\n", format!("standing = {}\n", 200 * times)),
+    ];
+    let text = changes.iter().fold(SHIPPED.to_owned(), |text, (was, is)| {
+        assert_eq!(text.matches(was).count(), 1, "{was}");
+        text.replace(was, is)
+    });
+    scenario(&text)
+}
+
+/// All that is wrong with a rolling restart from that seed.
+fn wrong(proxies: usize, dial_timeout: &str, seed: u64) -> Option<String> {
+    let Run { recovery, findings, .. } = run(&rolling(proxies, dial_timeout), seed);
+    assert!(findings.breaches.is_empty(), "{:?}", findings.counts());
+    let recovery = recovery.expect("proxies were restarted");
+    let told = |wrong| format!("{proxies} proxies, {dial_timeout}, seed {seed}: {wrong}: {recovery}");
+    recovery.unmet(WITHIN).map(told)
+}
+
+/// Restarted proxies knew of no trouble and took the time-outs of their dials for none, so that all of them kept the queue
+/// of the store longer than a dial lasts, with no cause left outside: nobody was accepted up to the end.
+#[test]
+fn goodput_comes_back_after_a_rolling_restart() {
+    let days = [(30, "900ms"), (30, "3200ms"), (300, "900ms"), (300, "3200ms")];
+    let wrong: Vec<_> = std::thread::scope(|scope| {
+        let day = |(proxies, timeout)| {
+            scope.spawn(move || (1..=5).filter_map(|seed| wrong(proxies, timeout, seed)).collect())
+        };
+        let days: Vec<_> = days.map(day).into();
+        days.into_iter().flat_map(|day| -> Vec<String> { day.join().unwrap() }).collect()
+    });
+    assert!(wrong.is_empty(), "{} of 20:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+/// A book of one restart at 2 s, in a run of 12 s before a store that bears 10 calls a second: each 50 ms a client asks,
+/// and is accepted by what `accepts` says of its time, so long after it asked.
+fn book(accepts: impl Fn(u64) -> Option<u64>) -> Book {
+    let mut book = Book::default();
+    book.note(0, What::ProxyUp { proxy: 0 });
+    let mut entries = vec![(2 * SECOND, What::ProxyUp { proxy: 0 })];
+    for n in 0..240 {
+        let (at, id) = (n * SECOND / 20, n + 1);
+        let ask = Ask {
+            client: n as usize,
+            id,
+            key: 1,
+            group: 1,
+            listener: 0,
+            patience: SECOND,
+            again: false,
+            retry: false,
+        };
+        entries.push((at, What::Opened { ask, proxy: 0 }));
+        entries
+            .extend(accepts(at).map(|after| (at + after, What::Answered { id, answer: Answer::Accepted })));
+    }
+    entries.sort_by_key(|e| e.0);
+    entries.into_iter().for_each(|(at, what)| book.note(at, what));
+    book
+}
+
+fn judged(rate: f64, accepts: impl Fn(u64) -> Option<u64>) -> Option<Recovery> {
+    recovery(&scenario(&format!("length = '12s'\n[store]\nrate = {rate}\n")), &book(accepts))
+}
+
+/// Every other one of 20 that ask each second is accepted from then on.
+fn half_from(from: u64) -> impl Fn(u64) -> Option<u64> {
+    move |at| (at >= from && (at / (SECOND / 20)).is_multiple_of(2)).then_some(10)
+}
+
+#[test]
+fn goodput_is_back_at_the_first_span_from_which_on_all_are() {
+    let took = |rate, accepts: &dyn Fn(u64) -> Option<u64>| judged(rate, accepts).unwrap().took;
+    assert_eq!(took(10.0, &half_from(0)), Some(0));
+    // A span of 2 s may lack a tenth at its start.
+    assert_eq!(took(10.0, &half_from(6 * SECOND)), Some(38 * SECOND / 10));
+    // The store bears what is offered: half of it is too little. Offered less, it has to be all of that.
+    assert_eq!(took(20.0, &half_from(0)), None);
+    assert_eq!(took(1000.0, &|_| Some(10)), Some(0));
+    // Answers after a client's patience are no goodput, nor is a good second between two bad ones.
+    assert_eq!(took(10.0, &|_| Some(SECOND + 1)), None);
+    assert_eq!(took(10.0, &|at| half_from(0)(at).filter(|_| at < 9 * SECOND)), None);
+}
+
+#[test]
+fn who_tries_often_is_offered_once() {
+    let mut all = book(|_| None);
+    for entry in &mut all.entries {
+        if let What::Opened { ask, .. } = &mut entry.what {
+            ask.client %= 4;
+        }
+    }
+    let after = recovery(&scenario("length = '12s'\n"), &all).unwrap().after;
+    assert!((after.offered - 0.4).abs() < 1e-9, "{after:?}");
+}
+
+#[test]
+fn what_a_scenario_demands_is_told_when_it_is_not_so() {
+    let unmet = |accepts: &dyn Fn(u64) -> Option<u64>, within| judged(10.0, accepts).unwrap().unmet(within);
+    assert_eq!(unmet(&half_from(6 * SECOND), 4 * SECOND), None);
+    let late = unmet(&half_from(6 * SECOND), 3 * SECOND).unwrap();
+    assert_eq!(late, "goodput back 3.8 s after the last restart");
+    let never = unmet(&|_| None, 5 * SECOND).unwrap();
+    assert_eq!(never, "goodput never came back after the last restart");
+    let short = unmet(&|_| None, 9 * SECOND).unwrap();
+    assert!(short.contains("too short"), "{short}");
+    assert!(
+        recovery(&scenario("length = '3s'\n"), &book(|_| Some(10))).is_none(),
+        "no span after the restart"
+    );
+    for (text, key) in [
+        ("[must]\nrecovers = '5s'\n", "must.recovers"),
+        ("[[faults]]\nwhat = 'proxy-stopped'\nat = '1s'\ntogether = 0\n", "together"),
+    ] {
+        assert!(Scenario::read(text).unwrap_err().iter().any(|p| p.key == key), "{text}");
+    }
+}
+
+/// So many at a time, each step after the one before; each proxy ends and answers again once.
+#[test]
+fn all_proxies_are_restarted_a_tenth_at_a_time() {
+    let run = run(&rolling(30, "900ms"), 1);
+    let mut up = [0; 30];
+    for entry in run.book.entries.iter().filter(|e| e.at > 0) {
+        match entry.what {
+            What::ProxyUp { proxy } => up[proxy] += 1,
+            What::ProxyGone { planned, .. } => assert!(planned),
+            _ => {}
+        }
+    }
+    assert_eq!(up, [1; 30]);
+    let stops = run.book.entries.iter().filter(|e| matches!(&e.what, What::Fault(f) if f.contains("Stop")));
+    let mut at: Vec<_> = stops.map(|e| e.at).collect();
+    assert_eq!(at.len(), 30);
+    at.dedup();
+    assert_eq!(at.len(), 10);
+}
