A rehearsal of proxies that are killed in the instant after an accept

`at_accept = true` arms a proxy that is to be killed: the next connection that it has taken is its last, on sockets and in simulated time.

--- a/crates/larkctl/tests/command.rs
+++ b/crates/larkctl/tests/command.rs
@@ -27,7 +27,7 @@
 #[test]
 fn each_shipped_scenario_can_be_read_and_is_listed() {
     let (code, text) = ran(&["rehearse", "--list"]);
-    assert_eq!((code, text.lines().count()), (0, 16), "{text}");
+    assert_eq!((code, text.lines().count()), (0, 17), "{text}");
     for name in [
         "calm",
         "proxy-killed",
@@ -36,6 +36,7 @@
         "slow-store",
         "cold-return",
         "cold-herd",
+        "killed-at-accept",
         "reload-and-stop",
         "rolling-restart",
     ] {
--- a/crates/larklink-proxy/tests/rehearsals.rs
+++ b/crates/larklink-proxy/tests/rehearsals.rs
@@ -33,6 +33,18 @@
     assert_eq!(report.daemons[0].starts, 2);
 }
 
+/// The connection that a proxy has just taken goes down with it, nothing else does, and nothing runs twice.
+#[test]
+fn a_proxy_killed_at_an_accept_takes_down_what_it_held_and_no_more() {
+    let text = "length = '7s'\n[proxies]\ncount = 2\n[front]\nnotices_after = '100ms'\n[[listeners]]\nkind = 'once-only'\n\
+                rate = 60.0\nlife = '2s'\n[[faults]]\nwhat = 'proxy-killed'\nat = '2s'\nfor = '300ms'\nwhich = [0, 1]\n\
+                apart = '1s'\nevery = '2s'\ntimes = 2\nat_accept = true\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.with_proxy > 0, "{:?}", report.rows[0].answers);
+    assert!(report.daemons.iter().all(|d| d.starts == 3), "{:?}", report.daemons);
+}
+
 #[test]
 fn proxies_that_stop_in_turn_and_read_their_files_anew_move_all_they_hold() {
     let text = "length = '8s'\n[proxies]\ncount = 2\n[[faults]]\nwhat = 'proxy-reloaded'\nat = '500ms'\n\
--- a/crates/larklink-rehearse/src/clients.rs
+++ b/crates/larklink-rehearse/src/clients.rs
@@ -38,6 +38,7 @@
     let Ok(stream) = stream else {
         return stage.world.borrow_mut().nobody_there(stage.now(), id, proxy);
     };
+    stage.connected(proxy);
     let mut lines = Lines::new(stream);
     if lines.say(&text).await.is_err() {
         return stage.world.borrow_mut().unanswered(stage.now(), id, End::Broken);
--- a/crates/larklink-rehearse/src/daemons.rs
+++ b/crates/larklink-rehearse/src/daemons.rs
@@ -223,6 +223,8 @@
                 stage.world.borrow_mut().proxy_gone(stage.now(), proxy, false);
                 slots.borrow_mut()[proxy].end();
             }
+            // The stage waits for the connection, and orders the kill then.
+            Some((_, Upon::KillAtAccept { .. })) => {}
             Some((proxy, Upon::Start)) => {
                 if let Err(wrong) = start(&stage, &slots, proxy).await {
                     return wrong;
--- a/crates/larklink-rehearse/src/stage.rs
+++ b/crates/larklink-rehearse/src/stage.rs
@@ -1,6 +1,6 @@
 //! What all tasks of a rehearsal share: the world, its time, and the ways to each connection.
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -58,6 +58,8 @@
     pub clients: RefCell<HashMap<u64, Sender<Order>>>,
     pub conns: RefCell<HashMap<Conn, (usize, Sender<Say>)>>,
     pub next_conn: Cell<Conn>,
+    /// Proxies that are killed with the next connection that they take, and how long after they start again.
+    armed: RefCell<BTreeMap<usize, Option<Time>>>,
     pub listening: Vec<Sender<Listening>>,
     pub server_at: Vec<SocketAddr>,
     /// Where clients reach each proxy: its own address, or that of a door before it.
@@ -81,6 +83,7 @@
             clients: RefCell::default(),
             conns: RefCell::default(),
             next_conn: Cell::new(1),
+            armed: RefCell::default(),
             listening: parts.listening,
             server_at: parts.server_at,
             front_at: parts.front_at,
@@ -138,11 +141,27 @@
                 Deed::Client(Act::GiveUp { id } | Act::Leave { id }) => self.order(id, Order::Leave),
                 Deed::Client(Act::Silent { .. }) => {}
                 Deed::Drop(ids) => ids.into_iter().for_each(|id| self.order(id, Order::Drop)),
+                Deed::Proxy(proxy, Upon::KillAtAccept { back }) => {
+                    self.armed.borrow_mut().insert(proxy, back);
+                }
                 Deed::Proxy(proxy, upon) => _ = self.daemons.try_send((proxy, upon)),
             }
         }
     }
 
+    /// A client's connection to a proxy stands: it may be the last that this one took.
+    pub fn connected(self: &Rc<Self>, proxy: usize) {
+        let Some(back) = self.armed.borrow_mut().remove(&proxy) else { return };
+        let _ = self.daemons.try_send((proxy, Upon::Kill));
+        if let Some(back) = back {
+            let stage = Rc::clone(self);
+            self.spawn(async move {
+                Timer::after(Duration::from_micros(back * 100)).await;
+                let _ = stage.daemons.try_send((proxy, Upon::Start));
+            });
+        }
+    }
+
     fn order(&self, id: u64, order: Order) {
         if let Some(to) = self.clients.borrow().get(&id) {
             let _ = to.try_send(order);
--- a/crates/larklink-world/src/faults.rs
+++ b/crates/larklink-world/src/faults.rs
@@ -9,6 +9,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Upon {
     Kill,
+    /// Killed in the instant in which it has taken its next connection; it starts again so long after.
+    KillAtAccept {
+        back: Option<Time>,
+    },
     Start,
     /// SIGTERM; it starts again so long after its end.
     Stop {
@@ -133,6 +137,9 @@
     let until = at + lasts.unwrap_or(0);
     let (proxy, server) = (which, which);
     match fault.what {
+        Trouble::ProxyKilled if fault.at_accept => {
+            events.push((at, Event::Proxy(proxy, Upon::KillAtAccept { back: lasts })));
+        }
         Trouble::ProxyKilled => {
             events.push((at, Event::Proxy(proxy, Upon::Kill)));
             events.extend(lasts.map(|_| (until, Event::Proxy(proxy, Upon::Start))));
--- a/crates/larklink-world/src/scenario.rs
+++ b/crates/larklink-world/src/scenario.rs
@@ -315,6 +315,9 @@
     /// Again so often, so many times in all.
     pub every: Option<Span>,
     pub times: Option<u32>,
+    /// A proxy is killed in the instant in which it has taken its next connection.
+    #[serde(default)]
+    pub at_accept: bool,
 }
 
 /// What must hold at the end, beside the rules.
@@ -563,6 +566,9 @@
         if f.factor.is_some_and(|x| !(x >= 1.0 && x.is_finite())) {
             wrong("factor", "1 or more".into());
         }
+        if f.at_accept && f.what != ProxyKilled {
+            wrong("at_accept", "only a proxy that is killed can be so".into());
+        }
         if f.together == Some(0) {
             wrong("together", "one at least".into());
         }
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -93,11 +93,22 @@
     stops: Option<(Time, Time)>,
     /// It starts again so long after its end.
     back: Option<Time>,
+    /// It is killed with the next connection that it takes.
+    armed: bool,
 }
 
 impl Proxy {
     fn new(core: Core, next: u32) -> Self {
-        Self { core, alive: true, next, flows: BTreeMap::new(), known: None, stops: None, back: None }
+        Self {
+            core,
+            alive: true,
+            next,
+            flows: BTreeMap::new(),
+            known: None,
+            stops: None,
+            back: None,
+            armed: false,
+        }
     }
 }
 
@@ -248,6 +259,10 @@
                 Deed::Listen { .. } | Deed::Proxy(_, Upon::Reload | Upon::Replace) => {}
                 Deed::Client(act) => self.client(now, act),
                 Deed::Drop(ids) => ids.into_iter().for_each(|id| self.client_gone(now, id)),
+                Deed::Proxy(proxy, Upon::KillAtAccept { back }) => {
+                    let p = &mut self.proxies[proxy];
+                    (p.armed, p.back) = (p.alive, back);
+                }
                 Deed::Proxy(proxy, Upon::Kill) => self.end_proxy(now, proxy, false),
                 Deed::Proxy(proxy, Upon::Stop { back }) => self.stop_proxy(now, proxy, back),
                 Deed::Proxy(proxy, Upon::Start) => self.start_proxy(now, proxy),
@@ -311,16 +326,20 @@
             waiting.into_iter().for_each(|id| self.last_answer(now, id));
         }
         if self.proxies[proxy].flows.is_empty() || now >= until {
-            let back = self.proxies[proxy].back;
             self.end_proxy(now, proxy, true);
-            if let Some(back) = back {
-                self.hops.add(now + back, Hop::Start(proxy));
-            }
+            self.start_again(now, proxy);
         } else {
             self.hops.add(now + LOOK, Hop::Stops(proxy));
         }
     }
 
+    /// It starts again when it is to, after its end.
+    fn start_again(&mut self, now: Time, proxy: usize) {
+        if let Some(back) = self.proxies[proxy].back.take() {
+            self.hops.add(now + back, Hop::Start(proxy));
+        }
+    }
+
     /// There is no more time for an answer of the module's.
     fn last_answer(&mut self, now: Time, id: u64) {
         let flow = &self.flows[&id];
@@ -447,6 +466,10 @@
         let told = ask.patience / 10;
         self.flows
             .insert(ask.id, Flow { proxy, number, ask, conn: None, stands: None, told, may_have_run: false });
+        if std::mem::take(&mut self.proxies[proxy].armed) {
+            self.end_proxy(now, proxy, false);
+            return self.start_again(now, proxy);
+        }
         if let Some(action) = self.proxies[proxy].core.open(ORIGIN + now, number, session) {
             self.act(now, proxy, action);
         }
--- a/crates/larklink-world/tests/world.rs
+++ b/crates/larklink-world/tests/world.rs
@@ -165,6 +165,31 @@
     assert!(run.service > 0.8, "{}", run.service);
 }
 
+/// Not at its time but with the next connection after it: that is what went down with it, and it is back once.
+#[test]
+fn a_proxy_killed_at_an_accept_is_killed_by_a_connection() {
+    let day = |more| {
+        format!(
+            "length = '6s'\n[[listeners]]\nstanding = 0\nrate = 3.0\n[[faults]]\nwhat = 'proxy-killed'\nat = '2s'\nfor = '500ms'\n{more}"
+        )
+    };
+    let run = run(&scenario(&day("at_accept = true\n")), 1);
+    clean(&run);
+    let at = |of: fn(&What) -> bool| {
+        run.book.entries.iter().filter(move |e| e.at > 0 && of(&e.what)).map(|e| e.at)
+    };
+    let gone = at(|what| matches!(what, What::ProxyGone { planned: false, .. })).collect::<Vec<_>>();
+    let [end] = gone[..] else { panic!("{gone:?}") };
+    assert!(end > 2 * SECOND, "{end}");
+    let opened = at(|what| matches!(what, What::Opened { proxy: 0, .. }));
+    assert!(opened.into_iter().any(|at| at + 2 == end), "no connection came at {end}");
+    assert_eq!(at(|what| matches!(what, What::ProxyUp { .. })).collect::<Vec<_>>(), [end + SECOND / 2]);
+    assert_eq!(run.findings.listeners[0].with_proxy, 1);
+    let wrong =
+        Scenario::read("[[faults]]\nwhat = 'proxy-stopped'\nat = '1s'\nat_accept = true\n").unwrap_err();
+    assert!(wrong.iter().any(|p| p.key == "at_accept"), "{wrong:?}");
+}
+
 /// Any change of the list started a killed proxy again, where another was stopped by plan.
 #[test]
 fn a_killed_proxy_stays_dead_where_another_is_stopped_and_started() {
