--- a/crates/larkctl/src/rehearse.rs
+++ b/crates/larkctl/src/rehearse.rs
@@ -11,13 +11,14 @@
 use larklink_world::scenario::Scenario;
 
 /// The scenarios that ship with the daemon, by name.
-const SHIPPED: [(&str, &str); 17] = [
+const SHIPPED: [(&str, &str); 18] = [
     ("calm", include_str!("../../../rehearsals/calm.toml")),
     ("cold-herd", include_str!("../../../rehearsals/cold-herd.toml")),
     ("cold-return", include_str!("../../../rehearsals/cold-return.toml")),
     ("deaf-clients", include_str!("../../../rehearsals/deaf-clients.toml")),
     ("killed-at-accept", include_str!("../../../rehearsals/killed-at-accept.toml")),
     ("list-lost", include_str!("../../../rehearsals/list-lost.toml")),
+    ("list-lost-late", include_str!("../../../rehearsals/list-lost-late.toml")),
     ("operators-call", include_str!("../../../rehearsals/operators-call.toml")),
     ("proxy-killed", include_str!("../../../rehearsals/proxy-killed.toml")),
     ("reload-and-stop", include_str!("../../../rehearsals/reload-and-stop.toml")),
--- a/crates/larkctl/tests/command.rs
+++ b/crates/larkctl/tests/command.rs
@@ -27,7 +27,7 @@
 #[test]
 fn each_shipped_scenario_can_be_read_and_is_listed() {
     let (code, text) = ran(&["rehearse", "--list"]);
-    assert_eq!((code, text.lines().count()), (0, 17), "{text}");
+    assert_eq!((code, text.lines().count()), (0, 18), "{text}");
     for name in [
         "calm",
         "proxy-killed",
@@ -37,6 +37,7 @@
         "cold-return",
         "cold-herd",
         "killed-at-accept",
+        "list-lost-late",
         "reload-and-stop",
         "rolling-restart",
     ] {
