--- a/crates/larklink-proxy/tests/rehearsals.rs
+++ b/crates/larklink-proxy/tests/rehearsals.rs
@@ -33,6 +33,18 @@
     assert_eq!(report.daemons[0].starts, 2);
 }
 
+/// The connection that a proxy has just taken goes down with it, nothing else does, and nothing runs twice.
+#[test]
+fn a_proxy_killed_at_an_accept_takes_down_what_it_held_and_no_more() {
+    let text = "length = '7s'\n[proxies]\ncount = 2\n[front]\nnotices_after = '100ms'\n[[listeners]]\nkind = 'once-only'\n\
+                rate = 60.0\nlife = '2s'\n[[faults]]\nwhat = 'proxy-killed'\nat = '2s'\nfor = '300ms'\nwhich = [0, 1]\n\
+                apart = '1s'\nevery = '2s'\ntimes = 2\nat_accept = true\n";
+    let report = rehearse(text, 1, None);
+    clean(&report);
+    assert!(report.rows[0].answers.with_proxy > 0, "{:?}", report.rows[0].answers);
+    assert!(report.daemons.iter().all(|d| d.starts == 3), "{:?}", report.daemons);
+}
+
 #[test]
 fn proxies_that_stop_in_turn_and_read_their_files_anew_move_all_they_hold() {
     let text = "length = '8s'\n[proxies]\ncount = 2\n[[faults]]\nwhat = 'proxy-reloaded'\nat = '500ms'\n\
@@ -53,6 +65,25 @@
     assert!(report.rows[0].answers.refused > 0, "{:?}", report.rows[0].answers);
 }
 
+/// A restart after which the store never again bears what it did is told by the verdict; the same day without that is
+/// clean, so that it is what was found.
+#[test]
+fn goodput_that_never_comes_back_is_found_wanting() {
+    let day = |slow| {
+        format!(
+            "length = '6s'\n[store]\nrate = 100.0\n[[listeners]]\nstanding = 30\nrate = 30.0\nlife = '2s'\ntries = 10\n\
+             dial_timeout = '900ms'\nspread = '1s'\n[[faults]]\nwhat = 'proxy-stopped'\nat = '1s'\nfor = '100ms'\n{slow}[must]\nrecovers = '1s'\n"
+        )
+    };
+    let well = rehearse(&day(""), 1, None);
+    clean(&well);
+    assert!(well.recovery.unwrap().took.is_some());
+    let slow = "[[faults]]\nwhat = 'store-slow'\nat = '1s'\nfor = '60s'\nfactor = 20.0\n";
+    let report = rehearse(&day(slow), 1, None);
+    assert_eq!(report.unmet, ["goodput never came back after the last restart, 1s asked for"]);
+    assert!(!report.kept());
+}
+
 /// A server that pauses for longer than its clients wait, and then answers: the late run is in the book, and no
 /// client hears of it.
 #[test]
