--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -901,9 +901,9 @@
         let share = start + (1.0 - start) * age as f64 / cold as f64;
         let told = self.told / self.full / f64::from(self.set.proxies);
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
-        // In the span in which a fall is counted all may send n, and 2 x root of n + 2 by chance. A few proxies
-        // send n, in turn; each of hundreds draws, and the deviation of that over n is left free. It may hurt
-        // where n is small: half of 1 is used, three quarters of 9.
+        // In the span in which a fall is counted all may send n, and 2 x root of n + 2 by chance. A few
+        // proxies send n, in turn; each of hundreds draws, and the deviation of that over n is left free. It
+        // may hurt where n is small: half of 1 is used, three quarters of 9.
         let (all, span) = (f64::from(self.set.proxies.max(1)), self.set.overload_for.max(1) as f64);
         let n = self.set.fall_multiple * fill * all / cold as f64 * span;
         let rate = n / (1.0 + ((1.0 - n.min(SEVERAL / 10.0) / all).max(0.0) / n).sqrt()) / span / all;
