Cold servers: the share of what comes counts up to (proxies / 20) squared spans

Cause: at 20 to 30 proxies few sessions ask a server within a span, and up to (proxies / 40) squared spans each was due less than the bound leaves. Change: SEVERAL 40 to 20.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -70,7 +70,7 @@
 /// The same where a group may come all at once to a server that has just started.
 const UNSEEN: (f64, f64) = (3.0, 50.0);
 /// Among so many proxies each meets those who want to go to a cold server often enough to go by them alone.
-const SEVERAL: f64 = 40.0;
+const SEVERAL: f64 = 20.0;
 /// The most successes that speak for a server.
 const TRUSTED: f64 = 8.0;
 
@@ -906,7 +906,7 @@
         // may hurt where n is small: half of 1 is used, three quarters of 9.
         let (all, span) = (f64::from(self.set.proxies.max(1)), self.set.overload_for.max(1) as f64);
         let n = self.set.fall_multiple * fill * all / cold as f64 * span;
-        let rate = n / (1.0 + ((1.0 - n.min(SEVERAL / 10.0) / all).max(0.0) / n).sqrt()) / span / all;
+        let rate = n / (1.0 + ((1.0 - n.min(SEVERAL / 5.0) / all).max(0.0) / n).sqrt()) / span / all;
         // A group comes at once and to one server, from hundreds of proxies: none takes it for smaller than
         // all that it has seen are on the mean. It may hurt where sessions share none: young processes wait.
         let (own, mean) = self.share(sess.bucket, self.shared, self.met, UNSEEN);
