--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -23,9 +23,8 @@
 const WALK: usize = 3;
 /// The first near server among so many of a ranking goes first; not among all, as a zone may have too few.
 const NEAR: usize = 2 * WALK;
-/// A server is probed after so many connect time-outs of silence, over the root of what it holds; where it
-/// then tells its load, after so many over what it holds, in sessions or mean loads, silent or not: sooner at
-/// first, as what it told before it held any of ours says nothing of the crowd that came with them.
+/// A server is probed after so many connect time-outs of silence, over the root of what it holds; one that
+/// tells its load, silent or not, over what it holds: sooner at first, as its crowd came with our sessions.
 const QUIET: u64 = 64;
 /// And a server that missed once, after so many; twice as many for each further miss, up to so many times.
 const DOUBTED: u64 = 2;
@@ -58,11 +57,11 @@
 const REGROW: f64 = 0.03;
 /// Failures are forgotten by this share a second.
 const FORGET: f64 = 0.1;
-/// An error of the session store leaves this share of the dials out.
+/// An error of the session store leaves this share of the dials out; a prompt set-up adds so many times it.
 const CUT: f64 = 0.7;
-/// Yet the window stays above this share of a dial, the chance of one; or a proxy's share of so many.
-const FLOOR: f64 = 0.02;
-const TRICKLE: f64 = 3.0;
+const OPENS: f64 = 4.0;
+/// Yet it stays above this share of a dial, the chance of one; or a proxy's share of the other.
+const FLOOR: (f64, f64) = (0.02, 3.0);
 /// It begins with a proxy's share of so many: restarted ones kept a full store full. It may hurt where
 /// thousands of sessions come at once to a fleet that has just started.
 const FIRST: f64 = 400.0;
@@ -409,8 +408,9 @@
         if !prompt {
             return self.behind(server, Outcome::Accepted);
         }
-        // Only a window that is used opens, else a crowd finds it wide after a calm.
-        self.window += if self.out + 1.0 < self.window { 0.0 } else { self.window.min(1.0 / self.window) };
+        // Only a window that is used opens: a crowd finds it wide after a calm. It may hurt in a short lull.
+        let more = (OPENS * self.window).min(1.0 / self.window);
+        self.window += if self.out + 1.0 < self.window { 0.0 } else { more };
         self.failed_at = None;
     }
 
@@ -423,7 +423,7 @@
         if !counts || self.failed_at.replace(server).is_none_or(|last| last == server) {
             return;
         }
-        let floor = if self.set.proxies == 0 { FLOOR } else { TRICKLE / f64::from(self.set.proxies) };
+        let floor = if self.set.proxies == 0 { FLOOR.0 } else { FLOOR.1 / f64::from(self.set.proxies) };
         let share = if self.set.proxies > 0 && how == Outcome::Late { 0.0 } else { CUT };
         let window = (self.window.min(self.out + 1.0) * share).max(floor);
         if std::mem::replace(&mut self.window, window) > window && window == floor {
