--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -1,9 +1,8 @@
 //! Where each session goes: every decision of a larklink proxy, with no I/O, clock or wire.
 //!
-//! How to call it. Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]) and ask
-//! where a session goes ([`Balancer::place`]) and whether again ([`Balancer::settled`]). Tell it what else is
-//! seen (`stood`, `noted`, `probed`, `left`); after each call, and when [`Balancer::due`] has come, carry out
-//! what [`Balancer::chores`] returns. No call blocks. Its interface, plain values, is defined in `types.rs`.
+//! Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]), ask where a session goes
+//! ([`Balancer::place`]) and whether again ([`Balancer::settled`]), tell it what else is seen (`stood`, `noted`,
+//! `probed`, `left`). After each call, and at [`Balancer::due`], carry out what [`Balancer::chores`] returns.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -57,14 +56,13 @@
 const REGROW: f64 = 0.03;
 /// Failures are forgotten by this share a second.
 const FORGET: f64 = 0.1;
-/// An error of the session store leaves this share of the dials out; a prompt set-up adds so many times it.
-const CUT: f64 = 0.7;
-const OPENS: f64 = 4.0;
-/// Yet it stays above this share of a dial, the chance of one; or a proxy's share of the other.
-const FLOOR: (f64, f64) = (0.02, 3.0);
-/// It begins with a proxy's share of so many: restarted ones kept a full store full. It may hurt where
-/// thousands of sessions come at once to a fleet that has just started.
-const FIRST: f64 = 400.0;
+/// An error of the session store or a long set-up leaves this share of the dials out, a late dial the other.
+const CUT: (f64, f64) = (0.8, 0.5);
+/// Yet it stays above a proxy's share of so many, and is taken for one of the other where no number is told.
+const FLOOR: (f64, u32) = (3.0, 150);
+/// It begins with a proxy's share of so many: restarted ones kept a full store full. It may hurt a fleet that
+/// has just started and gets thousands of sessions at once.
+const FIRST: f64 = 250.0;
 /// Who has refused so many since its last dial, so long ago, makes one all the same: it would turn away all
 /// that it gets long after the store is well. It may hurt where that bears less than these of all proxies.
 const SHUT: (u32, Time) = (12, 38_000);
@@ -243,19 +241,19 @@
     mates: Vec<u32>,
     pairs: u64,
     /// The same over those that came since the start, the latest most: pairs in all, and in one bucket.
-    met: f64,
-    shared: f64,
+    seen: (f64, f64),
     /// The mean load that was told, and by how many notes.
     unit: f64,
     notes: f64,
     /// Sessions that servers told they hold, and for how much weight at full load, over the latest answers.
-    told: f64,
-    full: f64,
+    bears: (f64, f64),
     /// When a session last came, or this process started: what was due earlier its forerunner has spent.
     came: Time,
     /// Dials out, and how many may be while the session store answers with errors.
     out: f64,
     window: f64,
+    /// When the last dial ended, and how long the next one rests then while the window is under one.
+    rests: (Time, f64),
     failed_at: Option<ServerIx>,
     /// Sessions refused since the last dial, and when that was.
     shut: (u32, Time),
@@ -291,15 +289,14 @@
             relisted: false,
             mates: vec![0; BUCKETS as usize],
             pairs: 0,
-            met: 0.0,
-            shared: 0.0,
+            seen: (0.0, 0.0),
             unit: 0.0,
             notes: 0.0,
-            told: 0.0,
-            full: 0.0,
+            bears: (0.0, 0.0),
             came: now,
             out: 0.0,
             hope: 1.0,
+            rests: (now, 0.0),
             failed_at: None,
             shut: (0, now),
             taken: VecDeque::new(),
@@ -378,13 +375,13 @@
     pub fn settled(&mut self, now: Time, ix: SessIx, how: Outcome, over: bool) -> Option<Verdict> {
         let sess = self.sessions.get_mut(ix)?;
         let (server, load, phase) = (sess.server, sess.load, std::mem::take(&mut sess.phase));
-        let (sent, dials) = (sess.sent, sess.dials);
+        let (sent, dials, patience) = (sess.sent, sess.dials, sess.ask.patience);
         if !how.never_ran() {
             sess.may_have_run.get_or_insert((server, sess.sent));
         }
         self.let_go(server, load, phase);
         if matches!(how, Outcome::Error | Outcome::Late) {
-            self.behind(server, how);
+            self.answered(now, server, how, patience, patience);
         }
         self.servers[server].ended(now, how, false);
         if how == Outcome::Unsent && dials > 1 {
@@ -403,32 +400,34 @@
         let Some(sess) = self.sessions.get_mut(ix) else { return };
         sess.phase = Phase::Stands;
         self.out -= 1.0;
-        let (server, prompt) = (sess.server, (now - sess.sent) * 3 < sess.ask.patience);
+        let (server, took, patience) = (sess.server, now - sess.sent, sess.ask.patience);
         self.servers[server].heard(now);
-        if !prompt {
-            return self.behind(server, Outcome::Accepted);
-        }
-        // Only a window that is used opens: a crowd finds it wide after a calm. It may hurt in a short lull.
-        let more = (OPENS * self.window).min(1.0 / self.window);
-        self.window += if self.out + 1.0 < self.window { 0.0 } else { more };
-        self.failed_at = None;
+        self.answered(now, server, Outcome::Accepted, took, patience);
     }
 
     /// Errors and set-ups that took long, on two servers in turn and none prompt between, point at the store
-    /// behind all of them, which every further dial only loads: fewer dials at once; after a late one only a
-    /// trickle, as a store works on for each. One server alone does not; nor time-outs where they can be
-    /// probed and no proxies are told. It may hurt while two hang.
-    fn behind(&mut self, server: ServerIx, how: Outcome) {
+    /// behind all of them, which every further dial only loads: fewer dials at once. One server alone does
+    /// not; nor time-outs where they can be probed and no proxies are told. It may hurt while two hang.
+    fn answered(&mut self, now: Time, server: ServerIx, how: Outcome, took: Time, patience: Time) {
+        let prompt = 1.0 - 3.0 * took as f64 / patience as f64;
         let counts = how == Outcome::Error || !self.set.probing || self.window.is_finite();
-        if !counts || self.failed_at.replace(server).is_none_or(|last| last == server) {
-            return;
-        }
-        let floor = if self.set.proxies == 0 { FLOOR.0 } else { FLOOR.1 / f64::from(self.set.proxies) };
-        let share = if self.set.proxies > 0 && how == Outcome::Late { 0.0 } else { CUT };
-        let window = (self.window.min(self.out + 1.0) * share).max(floor);
-        if std::mem::replace(&mut self.window, window) > window && window == floor {
-            self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
+        if prompt > 0.0 {
+            // Only one that is used opens: a crowd finds it wide after a calm. It may hurt in a short lull.
+            let more = self.window.min(1.0 / self.window) * prompt;
+            self.window += if self.out + 1.0 < self.window { 0.0 } else { more };
+            self.failed_at = None;
+        } else if counts && self.failed_at.replace(server).is_some_and(|last| last != server) {
+            let floor = FLOOR.0 / f64::from(if self.set.proxies > 0 { self.set.proxies } else { FLOOR.1 });
+            let share = if how == Outcome::Late { CUT.1 } else { CUT.0 };
+            let window = (self.window.min(self.out + 1.0) * share).max(floor);
+            if std::mem::replace(&mut self.window, window) > window && window == floor {
+                self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
+            }
         }
+        // Under one dial it is the share of the time in which one is out. So hundreds of proxies slow down as
+        // their store does, however often the refused come again: as a chance for each who came it kept jams
+        // up and opened late. Errors come at once, and count as long ones. It may hurt where one took long.
+        self.rests = (now, took as f64 * (1.0 / self.window - 1.0).max(0.0));
     }
 
     /// The client has left, or was moved: the session is over.
@@ -482,8 +481,8 @@
         let (target, tells, cold) = (self.set.message_target, self.set.tells_load, self.set.cold);
         if self.server(server).age(now) >= cold {
             let weight = self.weight(&self.servers[server]);
-            self.told += holds - self.told / MEMORY;
-            self.full += load * weight - self.full / MEMORY;
+            self.bears.0 += holds - self.bears.0 / MEMORY;
+            self.bears.1 += load * weight - self.bears.1 / MEMORY;
         }
         let s = self.server(server);
         s.asked = false;
@@ -516,9 +515,8 @@
 
     /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
     pub fn chores(&mut self, now: Time) -> Vec<Chore> {
-        // A connection that came up after the grace was sent new work all the same, where connecting takes
-        // longer than the grace: what is not sent yet goes elsewhere, mid-flow sessions keep half the grace.
-        // It may hurt where all servers drain, as the dial counts among those that a session has.
+        // Where connecting takes longer than a drain's grace, new work came after it: what is not sent yet goes
+        // elsewhere, mid-flow sessions keep half the grace. It may hurt where all drain, as the dial counts.
         let relisted = std::mem::take(&mut self.relisted);
         for (ix, x) in self.sessions.iter().filter(|(_, x)| relisted && x.phase == Phase::Dials) {
             if self.servers[x.server].barred(self.set.only_drains) {
@@ -665,8 +663,8 @@
         let (until, load) = (now + ask.patience, self.rows[ask.listener].load);
         let mates = &mut self.mates[bucket as usize];
         let keep = 1.0 - 1.0 / MEMORY.powi(2);
-        self.met = self.met * keep + 2.0 * self.sessions.len() as f64;
-        self.shared = self.shared * keep + 2.0 * f64::from(*mates);
+        self.seen.0 = self.seen.0 * keep + 2.0 * self.sessions.len() as f64;
+        self.seen.1 = self.seen.1 * keep + 2.0 * f64::from(*mates);
         (self.pairs, *mates) = (self.pairs + 2 * u64::from(*mates), *mates + 1);
         self.sessions.insert(Sess { ask, bucket, until, load, sent: now, ..Sess::default() })
     }
@@ -722,9 +720,11 @@
         let fits = fits && sess.dials < self.set.max_dials;
         // Mid-flow it goes on at its server, which asks the store for nothing.
         let goes_on = sess.ask.mid_flow && sess.dials == 0;
+        // The chance of the next dial grows to one while the window has it rest: hundreds keep out of step.
+        let rested = (now.saturating_sub(self.rests.0) as f64 / self.rests.1).min(1.0);
         let shut = self.shut.0 >= SHUT.0 && self.shut.1 + SHUT.1 <= now;
         if fits
-            && (goes_on || self.out < self.window && (self.paced(self.window) > 0.0 || shut))
+            && (goes_on || self.out < self.window && (self.paced(rested) > 0.0 || shut))
             && let Some(server) = self.choose(now, &sess)
             && (sess.dials == 0 || self.spared(now, &sess, server))
         {
@@ -917,7 +917,7 @@
             return true;
         }
         let share = start + (1.0 - start) * age as f64 / cold as f64;
-        let told = self.told / self.full / f64::from(self.set.proxies);
+        let told = self.bears.0 / self.bears.1 / f64::from(self.set.proxies);
         let fill = share * self.weight(s) * if told.is_normal() { told } else { load / weight };
         // In the span in which a fall is counted all may send n, and 2 x root of n + 2 by chance. A few
         // proxies send n, in turn; each of hundreds draws, and the deviation of that over n is left free. It
@@ -927,7 +927,7 @@
         let rate = n / (1.0 + ((1.0 - n.min(SEVERAL / 5.0) / all).max(0.0) / n).sqrt()) / span / all;
         // A group comes at once and to one server, from hundreds of proxies: none takes it for smaller than
         // all that it has seen are on the mean. It may hurt where sessions share none: young processes wait.
-        let (own, mean) = self.share(sess.bucket, self.shared, self.met, UNSEEN);
+        let (own, mean) = self.share(sess.bucket, self.seen.1, self.seen.0, UNSEEN);
         let group = if sess.ask.group_key == 0 { 0.0 } else { own.max(mean) };
         // Each walks on to it where those before it are full: it counts by how many they were.
         let share = (self.weight(s) / weight).max(group) * (full + 1) as f64;
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -1265,3 +1265,46 @@
         "{long} dials after set-ups of half a client's patience, {prompt} after prompt ones"
     );
 }
+
+/// Reported from a rolling restart: under one dial the window was a chance for each session that came, whatever a set-up
+/// took. After a jam each of hundreds opened by a dial in four seconds, and in one their clients' tries kept it up.
+#[test]
+fn a_window_under_one_dial_rests_between_dials_as_long_as_set_ups_take() {
+    // Of a hundred proxies whose dials were late, those out in so long once the store answers in so much of the patience.
+    let dials = |took: Time, span: Time| {
+        let mut sent = 0;
+        for seed in 0..100 {
+            let mut b = Balancer::new(Settings { proxies: 300, max_dials: 1, ..settings() }, seed, 0);
+            b.heard_list(0, Scope::Cached, &[0, 1, 2, 3].map(|s| entry(s, State::Ready, 0)));
+            let (mut now, mut late, mut key) = (0, 0, 0);
+            while late < 4 {
+                (now, key) = (now + SECOND / 10, key + 1);
+                let (ix, verdict) = b.place(now, ask(key, 0));
+                if matches!(verdict, Verdict::Dial { .. }) {
+                    now += 2 * SECOND;
+                    b.settled(now, ix, Outcome::Late, true);
+                    late += 1;
+                }
+            }
+            // From the first set-up on three ask each second.
+            let (mut out, begin) = (None, now + 4 * SECOND);
+            for at in (begin..begin + span).step_by(SECOND as usize / 100) {
+                if let Some((ix, _)) = out.take_if(|(_, since)| *since + took <= at) {
+                    b.stood(at, ix);
+                    b.left(ix);
+                }
+                if (at - begin) % (SECOND / 3 / 100 * 100) == 0 {
+                    key += 1;
+                    let (ix, verdict) = b.place(at, ask(key, 0));
+                    if matches!(verdict, Verdict::Dial { .. }) {
+                        (out, sent) = (Some((ix, at)), sent + 1);
+                    }
+                }
+            }
+        }
+        f64::from(sent) / 100.0
+    };
+    let (well, slow) = (dials(SECOND / 100, 4 * SECOND), dials(SECOND * 6 / 10, 4 * SECOND));
+    assert!(well > 9.0, "{well} of 13 who ask are dialled for where a set-up takes 10 ms");
+    assert!(slow < 3.5, "{slow} dials in 4 s where one takes 600 ms and the window has closed");
+}
