Names: poll and tick for chores and round, ProxySettings for Facts, watch_client

Changed without a change of behaviour: the module's and core's `chores` is `poll`, `round` is `tick`; `Facts` is `ProxySettings`; `stirs` is `watch_client`. Tests call the new names, their assertions are the same. clippy passes, the tests of module and core pass.

--- a/crates/larklink-adapter/src/proxy.rs
+++ b/crates/larklink-adapter/src/proxy.rs
@@ -5,7 +5,7 @@
 
 use larklink::types::*;
 use larklink_core::core::{Action, Core};
-use larklink_core::settings::{Facts, tenths};
+use larklink_core::settings::{ProxySettings, tenths};
 
 use crate::wire::{Batch, Fields, Malformed, Reply};
 
@@ -35,7 +35,7 @@
             let (code, instance) = (event.u16(0), event.u32(2));
             match code {
                 1000 => {
-                    let facts = Facts::read(batch.text(event, 14)?);
+                    let facts = ProxySettings::read(batch.text(event, 14)?);
                     let facts = facts.map_err(|e| Malformed(format!("settings: {e}")))?;
                     let proxy = Proxy { core: Core::new(&facts, event.u64(6), now), alarm: None };
                     self.running.insert(instance, proxy);
@@ -58,7 +58,7 @@
         }
         for instance in touched {
             let Some(proxy) = self.running.get_mut(&instance) else { continue };
-            let actions = guarded(instance, &mut reply, || proxy.core.chores(now)).unwrap_or_default();
+            let actions = guarded(instance, &mut reply, || proxy.core.poll(now)).unwrap_or_default();
             actions.into_iter().for_each(|action| act(instance, action, &mut reply));
             proxy.set_alarm(now, instance, &mut reply);
         }
@@ -132,7 +132,7 @@
                 };
                 self.core.noted(now, e.u32(6), e.u8(10), note);
             }
-            // A timer needs no more than the chores that follow each batch; nobody here sends memos.
+            // A timer needs no more than the poll that follows each batch; nobody here sends memos.
             _ => {}
         }
         Ok(None)
--- a/crates/larklink-core/src/core.rs
+++ b/crates/larklink-core/src/core.rs
@@ -1,12 +1,12 @@
 //! One proxy's decisions behind ids: events go in, [`Action`]s come out. Whoever holds a [`Core`] hands each
-//! event to it with the time, carries out the actions it returns in their order, and calls [`Core::chores`]
+//! event to it with the time, carries out the actions it returns in their order, and calls [`Core::poll`]
 //! after each batch of events and when [`Core::due`] has come.
 use std::collections::HashMap;
 
 use larklink::balancer::Balancer;
 use larklink::types::*;
 
-use crate::settings::Facts;
+use crate::settings::ProxySettings;
 
 /// What is to be done, by the ids that came in.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,7 +57,7 @@
 }
 
 impl Core {
-    pub fn new(facts: &Facts, seed: u64, now: Time) -> Self {
+    pub fn new(facts: &ProxySettings, seed: u64, now: Time) -> Self {
         Self {
             load_at: facts.load_at,
             holds_at: facts.holds_at,
@@ -157,9 +157,9 @@
     }
 
     /// What the module has to do besides its answers.
-    pub fn chores(&mut self, now: Time) -> Vec<Action> {
+    pub fn poll(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
-        for chore in self.balancer.chores(now) {
+        for chore in self.balancer.poll(now) {
             actions.extend(match chore {
                 Chore::Probe(server) => Some(Action::Probe { server: self.ids[server] }),
                 Chore::Move(handle) => {
--- a/crates/larklink-core/src/settings.rs
+++ b/crates/larklink-core/src/settings.rs
@@ -145,7 +145,7 @@
 /// What a settings object says.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(try_from = "Info")]
-pub struct Facts {
+pub struct ProxySettings {
     pub settings: Settings,
     /// The names of the listeners, in their order.
     pub listeners: Vec<String>,
@@ -163,7 +163,7 @@
     pub tells_delay: bool,
 }
 
-impl Facts {
+impl ProxySettings {
     pub fn read(text: &[u8]) -> Result<Self, serde_json::Error> {
         serde_json::from_slice(text)
     }
@@ -244,7 +244,7 @@
     }
 }
 
-impl TryFrom<Info> for Facts {
+impl TryFrom<Info> for ProxySettings {
     type Error = String;
 
     /// # Errors
--- a/crates/larklink-core/tests/core.rs
+++ b/crates/larklink-core/tests/core.rs
@@ -3,7 +3,7 @@
 
 use larklink::types::*;
 use larklink_core::core::{Action, Core};
-use larklink_core::settings::Facts;
+use larklink_core::settings::ProxySettings;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -173,7 +173,7 @@
     fn step(&mut self, step: Step) {
         let action = self.hear(step);
         action.into_iter().for_each(|a| self.check(a));
-        for action in self.core.chores(self.now) {
+        for action in self.core.poll(self.now) {
             self.check(action);
         }
         assert!(self.core.due() > self.now, "it would be asked again at once");
@@ -190,7 +190,7 @@
 
     #[test]
     fn each_action_is_for_a_session_that_may_have_it(steps in prop::collection::vec(step(), 1..200)) {
-        let facts = Facts::read(SETTINGS.as_bytes()).unwrap();
+        let facts = ProxySettings::read(SETTINGS.as_bytes()).unwrap();
         let core = Core::new(&facts, 5, 0);
         let mut watch = Watch { core, now: 0, next: 0, open: BTreeMap::new(), named: Vec::new() };
         (0..6).for_each(|id| watch.list(id, State::Ready));
@@ -200,21 +200,27 @@
 
 #[test]
 fn settings_are_read_by_name_and_units() {
-    let facts = Facts::read(SETTINGS.as_bytes()).unwrap();
+    let facts = ProxySettings::read(SETTINGS.as_bytes()).unwrap();
     let set = &facts.settings;
     assert_eq!((facts.listeners.len(), facts.longest, facts.passes), (2, 30_000, true));
     assert_eq!((facts.load_at, set.tells_load), (Some(1), true));
     assert_eq!((set.connect_timeout, set.message_target, set.drain_grace), (2_500, 500, 5_000));
     assert_eq!(set.listeners[1].kind, Kind::OnceOnly);
-    assert!(Facts::read(b"{}").is_ok_and(|f| f.listeners.is_empty()), "what is missing has a cautious value");
+    assert!(
+        ProxySettings::read(b"{}").is_ok_and(|f| f.listeners.is_empty()),
+        "what is missing has a cautious value"
+    );
     // At 0 each told delay would have made its server silent.
-    assert_eq!((set.dial_timeout, Facts::read(b"{}").unwrap().settings.dial_timeout), (30_000, Time::MAX));
-    assert!(Facts::read(b"[").is_err());
+    assert_eq!(
+        (set.dial_timeout, ProxySettings::read(b"{}").unwrap().settings.dial_timeout),
+        (30_000, Time::MAX)
+    );
+    assert!(ProxySettings::read(b"[").is_err());
 }
 
 #[test]
 fn a_ration_of_further_dials_and_the_nines_are_read_whole_or_absent() {
-    let set = |text: &str| Facts::read(text.as_bytes()).unwrap().settings;
+    let set = |text: &str| ProxySettings::read(text.as_bytes()).unwrap().settings;
     let all = set(r#"{"safety":{"budget_free":3,"extra_per_request":0.05,"counted_over_ns":5000000000},
             "result_mix":{"nines_part":0.3,"top_nines":3}}"#);
     assert_eq!(all.retry_budget, Some(RetryBudget { free: 3.0, share: 0.05, over: 50_000 }));
@@ -225,7 +231,10 @@
 #[test]
 fn a_proxy_keeps_near_only_where_a_crossing_costs_no_less_than_a_move() {
     let zone = |more: &str| {
-        Facts::read(format!(r#"{{"zone":1,"zones":["a","b"]{more}}}"#).as_bytes()).unwrap().settings.zone
+        ProxySettings::read(format!(r#"{{"zone":1,"zones":["a","b"]{more}}}"#).as_bytes())
+            .unwrap()
+            .settings
+            .zone
     };
     assert_eq!(zone(""), None, "what is not priced is as before");
     assert_eq!(zone(r#","fees":{"cross_zone":0.03,"moves":0.038}"#), None);
@@ -236,7 +245,7 @@
 #[test]
 fn a_session_with_hundreds_of_dials_ends_before_their_numbers_do() {
     let text = SETTINGS.replace(r#""send_cap": 3"#, r#""send_cap": 1000"#);
-    let mut core = Core::new(&Facts::read(text.as_bytes()).unwrap(), 7, 0);
+    let mut core = Core::new(&ProxySettings::read(text.as_bytes()).unwrap(), 7, 0);
     let entry = |id| Entry { id, state: State::Ready, weight: 1.0, ..Entry::default() };
     core.heard_list(0, Scope::Cached, vec![entry(1), entry(2)]);
     let ask = Session { client_key: 5, patience: 1_000_000, ..Session::default() };
@@ -244,7 +253,7 @@
     loop {
         now += 1;
         let waits = |a: Action| matches!(a, Action::Dial { .. } | Action::Refuse { .. }).then_some(a);
-        match action.take().or_else(|| core.chores(now).into_iter().find_map(waits)) {
+        match action.take().or_else(|| core.poll(now).into_iter().find_map(waits)) {
             Some(Action::Dial { dial, .. }) => {
                 dials.push(dial);
                 action = core.settled(now, 9, dial, Outcome::Full, false);
@@ -261,7 +270,7 @@
 
 #[test]
 fn settings_that_cannot_be_are_told_with_their_place() {
-    let wrong = |text: &str| Facts::read(text.as_bytes()).unwrap_err().to_string();
+    let wrong = |text: &str| ProxySettings::read(text.as_bytes()).unwrap_err().to_string();
     for (text, place) in [
         (r#"{"zone":2,"zones":["a","b"]}"#, "zone: 2 is no place among the 2"),
         (r#"{"zone":"b"}"#, "expected u16 at line 1 column 11"),
--- a/crates/larklink-core/tests/sites.rs
+++ b/crates/larklink-core/tests/sites.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use larklink::types::Kind;
-use larklink_core::settings::{Facts, tenths};
+use larklink_core::settings::{ProxySettings, tenths};
 use serde_json::{Map, Value, json};
 
 fn sites() -> Vec<PathBuf> {
@@ -75,7 +75,8 @@
                 ]),
             ),
         ]);
-        let facts = Facts::read(settings.to_string().as_bytes()).unwrap_or_else(|e| panic!("{name}: {e}"));
+        let facts =
+            ProxySettings::read(settings.to_string().as_bytes()).unwrap_or_else(|e| panic!("{name}: {e}"));
         let set = &facts.settings;
         let names: Vec<_> = classes.iter().map(|c| c["name"].as_str().unwrap()).collect();
         assert_eq!(facts.listeners, names);
--- a/crates/larklink-proxy/src/config.rs
+++ b/crates/larklink-proxy/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use larklink_core::settings::Facts;
+use larklink_core::settings::ProxySettings;
 use serde::{Deserialize, Deserializer, de::Error};
 use serde_json::Value;
 
@@ -25,7 +25,7 @@
     pub limits: Limits,
     #[serde(default)]
     pub known: Known,
-    pub settings: Facts,
+    pub settings: ProxySettings,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
--- a/crates/larklink-proxy/src/decisions.rs
+++ b/crates/larklink-proxy/src/decisions.rs
@@ -12,7 +12,7 @@
 use futures_lite::{FutureExt, future};
 use larklink::types::*;
 use larklink_core::core::{Action, Core};
-use larklink_core::settings::Facts;
+use larklink_core::settings::ProxySettings;
 
 use crate::clock::{Clock, tenths};
 use crate::delays::Delays;
@@ -44,7 +44,7 @@
 
 impl Owner {
     pub fn new(
-        facts: &Facts,
+        facts: &ProxySettings,
         seed: u64,
         known: Vec<Endpoint>,
         probes: Rc<Probes>,
@@ -80,10 +80,10 @@
                 })
                 .await;
             let now = self.clock.now();
-            // What has come by now, up to a turn of it, then the chores once.
+            // What has come by now, up to a turn of it, then polls once.
             let more = std::iter::from_fn(|| events.try_recv().ok());
             first.into_iter().chain(more).take(TURN).for_each(|event| self.hear(now, event));
-            for action in self.core.chores(now) {
+            for action in self.core.poll(now) {
                 self.act(now, action);
             }
             let (known, avoided) = self.core.census();
--- a/crates/larklink-proxy/src/pending.rs
+++ b/crates/larklink-proxy/src/pending.rs
@@ -97,8 +97,8 @@
         };
         let reason = loop {
             let order = async { orders.recv().await.ok().ok_or(Reason::ClientLeft) };
-            let stirred = stirs(&client.link.stream, &mut client.link.inbox, head.mid_flow);
-            match order.or(stirred).or(self.last_call()).await {
+            let client_left = watch_client(&client.link.stream, &mut client.link.inbox, head.mid_flow);
+            match order.or(client_left).or(self.last_call()).await {
                 // Only the first needs another descriptor: nothing has run.
                 Ok(Order::Dial { .. }) if !client.place.second() => break Reason::NoRoom,
                 Ok(Order::Dial { dial: number, server, address, until, by }) => {
@@ -126,13 +126,13 @@
                         })
                     };
                     let over = async { Ok(Err(permit.over(&orders).await)) };
-                    let stirred = stirs(stream, inbox, head.mid_flow);
-                    let done = over.or(stirred).or(work).or(self.last_call()).await;
+                    let client_left = watch_client(stream, inbox, head.mid_flow);
+                    let done = over.or(client_left).or(work).or(self.last_call()).await;
                     may_have_run |= permit.sent.get() && !matches!(&done, Ok(Err(how)) if how.never_ran());
                     match done {
                         Err(reason) => break reason,
                         Ok(Err(Outcome::Unsent)) if !waits_still(stream.get_ref(), head.mid_flow) => {
-                            let Err(reason) = stirs::<Infallible>(stream, inbox, head.mid_flow).await;
+                            let Err(reason) = watch_client::<Infallible>(stream, inbox, head.mid_flow).await;
                             break reason;
                         }
                         Ok(Err(how)) => {
@@ -219,7 +219,7 @@
                 };
             }
         };
-        match work.or(stirs(stream, inbox, true)).or(self.last_call()).await {
+        match work.or(watch_client(stream, inbox, true)).or(self.last_call()).await {
             Ok(link) => {
                 self.figures.answered(listener, Answer::Accepted);
                 self.queue.send(Event::Adopt { session, ask, server }).await;
@@ -252,7 +252,7 @@
 
 /// Resolves when the client of a session that waits has left, or has said more before its answer; one whose
 /// packets came another way before may.
-async fn stirs<T>(stream: &Async<TcpStream>, inbox: &mut Inbox, may_speak: bool) -> Result<T, Reason> {
+async fn watch_client<T>(stream: &Async<TcpStream>, inbox: &mut Inbox, may_speak: bool) -> Result<T, Reason> {
     loop {
         if !inbox.bytes().is_empty() && !may_speak {
             return Err(Reason::BadLine);
--- a/crates/larklink-proxy/src/probes.rs
+++ b/crates/larklink-proxy/src/probes.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use larklink::types::Outcome;
-use larklink_core::settings::Facts;
+use larklink_core::settings::ProxySettings;
 
 use crate::clock::{span, tenths};
 use crate::events::{Event, Queue};
@@ -39,7 +39,7 @@
 }
 
 impl Probes {
-    pub fn new(facts: &Facts, queue: Queue, limiter: Rc<ConnectionLimiter>) -> Self {
+    pub fn new(facts: &ProxySettings, queue: Queue, limiter: Rc<ConnectionLimiter>) -> Self {
         let names = if facts.load_at.is_some() { facts.report.clone() } else { Vec::new() };
         let (probing, connect_timeout) = (facts.settings.probing, span(facts.settings.connect_timeout));
         let (kept, asked, waiting) = Default::default();
--- a/crates/larklink-world/src/simulate.rs
+++ b/crates/larklink-world/src/simulate.rs
@@ -4,7 +4,7 @@
 
 use larklink::types::{Entry, Note, Outcome, Scope, Session, State, Time};
 use larklink_core::core::{Action, Core};
-use larklink_core::settings::Facts;
+use larklink_core::settings::ProxySettings;
 
 use crate::audit::{Findings, audit};
 use crate::book::{Answer, Ask, Book, DialEnd, End, What};
@@ -187,7 +187,7 @@
         let deeds = sim.world.turn(now);
         sim.carry(now, deeds);
         for proxy in 0..sim.proxies.len() {
-            sim.chores(now, proxy);
+            sim.poll(now, proxy);
         }
         let core = |p: &Proxy| if p.alive { p.core.due().saturating_sub(ORIGIN) } else { Time::MAX };
         let cores = sim.proxies.iter().map(core).min().unwrap_or(Time::MAX);
@@ -203,7 +203,7 @@
 impl Sim<'_> {
     fn core(&self, now: Time, proxy: usize) -> Core {
         let facts = settings(self.scenario, proxy).to_string();
-        let facts = Facts::read(facts.as_bytes()).expect("settings of our own make");
+        let facts = ProxySettings::read(facts.as_bytes()).expect("settings of our own make");
         let seed = self.seed.wrapping_mul(1000).wrapping_add(proxy as u64 + now);
         Core::new(&facts, seed, ORIGIN + now)
     }
@@ -235,9 +235,9 @@
         core.heard_list(ORIGIN + now, scope, lines.iter().map(entry).collect());
     }
 
-    fn chores(&mut self, now: Time, proxy: usize) {
+    fn poll(&mut self, now: Time, proxy: usize) {
         if self.proxies[proxy].alive {
-            for action in self.proxies[proxy].core.chores(ORIGIN + now) {
+            for action in self.proxies[proxy].core.poll(ORIGIN + now) {
                 self.act(now, proxy, action);
             }
         }
--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -2,7 +2,7 @@
 //!
 //! Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]), ask where a session goes
 //! ([`Balancer::place`]) and whether again ([`Balancer::settled`]), tell it what else is seen (`stood`, `noted`,
-//! `probed`, `left`). After each call, and at [`Balancer::due`], carry out what [`Balancer::chores`] returns.
+//! `probed`, `left`). After each call, and at [`Balancer::due`], carry out what [`Balancer::poll`] returns.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -235,7 +235,7 @@
     sessions: Slab<Sess>,
     /// Each bucket's ranking of the ready servers, worked out when first asked for.
     table: BTreeMap<u64, Vec<ServerIx>>,
-    /// A list has come since the last call for chores.
+    /// A list has come since the last poll.
     relisted: bool,
     /// How many of our sessions are of each bucket, and how many ordered pairs of them share one.
     mates: Vec<u32>,
@@ -266,9 +266,9 @@
     owed: Time,
     /// Sessions that wait for the answer to a probe.
     waiting: Vec<SessIx>,
-    next_round: Time,
+    next_tick: Time,
     next_ask: Time,
-    /// What the next call for chores returns.
+    /// What the next poll returns.
     todo: Vec<Chore>,
 }
 
@@ -280,7 +280,7 @@
             window: FIRST / f64::from(set.proxies),
             next_ask: if set.on_request { now } else { Time::MAX },
             // Proxies that start together do not look after the servers in step.
-            next_round: now + rng.random_range(0..=set.connect_timeout),
+            next_tick: now + rng.random_range(0..=set.connect_timeout),
             set,
             rng,
             servers: Vec::new(),
@@ -508,13 +508,13 @@
         (listed.clone().count(), listed.filter(avoided).count())
     }
 
-    /// When [`Balancer::chores`] wants to be called next.
+    /// When [`Balancer::poll`] wants to be called next.
     pub fn due(&self) -> Time {
-        self.next_ask.min(self.next_round)
+        self.next_ask.min(self.next_tick)
     }
 
     /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
-    pub fn chores(&mut self, now: Time) -> Vec<Chore> {
+    pub fn poll(&mut self, now: Time) -> Vec<Chore> {
         // Where connecting takes longer than a drain's grace, new work came after it: what is not sent yet goes
         // elsewhere, mid-flow sessions keep half the grace. It may hurt where all drain, as the dial counts.
         let relisted = std::mem::take(&mut self.relisted);
@@ -540,15 +540,15 @@
             self.next_ask = now + self.set.must_ask_in / 2;
             self.todo.push(Chore::Subscribe);
         }
-        if self.next_round <= now {
-            self.next_round = now + self.set.connect_timeout;
-            self.round(now);
+        if self.next_tick <= now {
+            self.next_tick = now + self.set.connect_timeout;
+            self.tick(now);
         }
         std::mem::take(&mut self.todo)
     }
 
     /// Looks after each server, once a connect time-out.
-    fn round(&mut self, now: Time) {
+    fn tick(&mut self, now: Time) {
         let (round, probing) = (self.set.connect_timeout, self.set.probing);
         self.hope += (1.0 - self.hope) * HOPE / 2.0 * round as f64 / NOTE as f64;
         for ix in 0..self.servers.len() {
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -80,7 +80,7 @@
     while verdict == Verdict::Wait {
         (0..servers).for_each(|s| b.probed(now, s, Outcome::Accepted, 10, 0.0, 0.0));
         let tell = |c| if let Chore::Tell(_, verdict) = c { Some(verdict) } else { None };
-        verdict = b.chores(now).into_iter().filter_map(tell).next_back().unwrap();
+        verdict = b.poll(now).into_iter().filter_map(tell).next_back().unwrap();
     }
     verdict
 }
@@ -278,19 +278,19 @@
                     {
                         self.settle(ix, Outcome::Late);
                     }
-                    self.chores();
+                    self.poll();
                 }
             }
         }
-        self.chores();
+        self.poll();
         for s in self.open.values().filter(|s| !s.stands) {
             assert!(s.out.is_some() || s.waits, "a session neither answered nor sent on");
             assert!(self.now <= s.until, "a session without its answer past its dial timeout");
         }
     }
 
-    fn chores(&mut self) {
-        for chore in self.balancer.chores(self.now) {
+    fn poll(&mut self) {
+        for chore in self.balancer.poll(self.now) {
             match chore {
                 Chore::Move(ix) => {
                     assert!(self.open.remove(&ix).expect("moved while open").stands, "moved before it stood");
@@ -485,7 +485,7 @@
         b.probed(0, 0, Outcome::Unmade, 10, 0.0, 0.0);
         while b.due() < 12 * SECOND {
             let now = b.due();
-            for _ in b.chores(now).iter().filter(|c| matches!(c, Chore::Probe(_))) {
+            for _ in b.poll(now).iter().filter(|c| matches!(c, Chore::Probe(_))) {
                 asked[(now / SECOND) as usize] += 1;
                 b.probed(now, 0, Outcome::Unmade, 10, 0.0, 0.0);
             }
@@ -502,11 +502,11 @@
     let owner = dialled(fleet(settings(), 8).place(0, ask(5, 0)).1);
     let (ix, verdict) = b.place(0, ask(5, 0));
     assert_eq!(verdict, Verdict::Wait);
-    assert!(b.chores(0).contains(&Chore::Probe(owner)));
+    assert!(b.poll(0).contains(&Chore::Probe(owner)));
     b.probed(50, owner, Outcome::Accepted, 50, 1.2, 0.0);
-    let asked: Vec<_> = b.chores(50).into_iter().filter(|c| matches!(c, Chore::Probe(_))).collect();
+    let asked: Vec<_> = b.poll(50).into_iter().filter(|c| matches!(c, Chore::Probe(_))).collect();
     assert!(asked.len() == 1 && asked[0] != Chore::Probe(owner), "the second is asked next: {asked:?}");
-    let late = b.chores(SECOND).into_iter().find_map(|c| match c {
+    let late = b.poll(SECOND).into_iter().find_map(|c| match c {
         Chore::Tell(sess, verdict) if sess == ix => Some(dialled(verdict)),
         _ => None,
     });
@@ -522,7 +522,7 @@
         let rounds = (from * 5..to * 5).map(|n| n * SECOND / 5);
         let mut probes = 0;
         for now in rounds {
-            let asks = b.chores(now).contains(&Chore::Probe(0));
+            let asks = b.poll(now).contains(&Chore::Probe(0));
             probes += u32::from(asks);
             if asks {
                 b.probed(now, 0, Outcome::Accepted, 10, 0.1, 0.0);
@@ -548,7 +548,7 @@
         let (ix, _) = b.place(0, ask(3, 0));
         b.stood(10, ix);
         b.noted(3 * SECOND, ix, Note::Delay(400));
-        moved += b.chores(3 * SECOND).iter().filter(|c| matches!(c, Chore::Move(_))).count();
+        moved += b.poll(3 * SECOND).iter().filter(|c| matches!(c, Chore::Move(_))).count();
     }
     assert!((5..60).contains(&moved), "{moved} of 200 at once");
 }
@@ -684,9 +684,9 @@
         );
         b.probed(0, 1, Outcome::Accepted, 10, 0.5, 25.0);
         let (ix, _) = b.place(now, ask(1 + seed, 0));
-        if b.chores(now).contains(&Chore::Probe(0)) {
+        if b.poll(now).contains(&Chore::Probe(0)) {
             b.probed(now + 100, 0, Outcome::Accepted, 100, 0.1, 10.0);
-            let told = b.chores(now + 100);
+            let told = b.poll(now + 100);
             assert!(
                 matches!(told[..], [Chore::Tell(i, Verdict::Dial { server: 0, .. })] if i == ix),
                 "{told:?}"
@@ -714,7 +714,7 @@
         let (ix, _) = b.place(now, ask(n + 1, 0));
         b.stood(now, ix);
         b.noted(now, ix, Note::Delay(400));
-        if b.chores(now + SECOND / 4).contains(&Chore::Move(ix)) {
+        if b.poll(now + SECOND / 4).contains(&Chore::Move(ix)) {
             moved.push(n);
         }
         b.left(ix);
@@ -808,8 +808,8 @@
 fn a_server_that_the_list_merely_lost_keeps_what_it_holds() {
     let set = Settings { only_drains: true, ..settings() };
     let moves = |b: &mut Balancer, from: u64| {
-        let chores = (from..from + 20).flat_map(|n| b.chores(n * set.connect_timeout + 10));
-        chores.filter(|c| matches!(c, Chore::Move(_))).count()
+        let done = (from..from + 20).flat_map(|n| b.poll(n * set.connect_timeout + 10));
+        done.filter(|c| matches!(c, Chore::Move(_))).count()
     };
     let lost = |set: &Settings| {
         let mut b = fleet(set.clone(), 3);
@@ -846,7 +846,7 @@
     for _ in 0..2 {
         b.probed(20, dialled(verdict), Outcome::Late, 10, 0.0, 0.0);
     }
-    assert!((20..60).any(|n| b.chores(n * SECOND / 4).contains(&Chore::Move(ix))));
+    assert!((20..60).any(|n| b.poll(n * SECOND / 4).contains(&Chore::Move(ix))));
 }
 
 #[test]
@@ -854,10 +854,10 @@
     let mut b = fleet(Settings { probing: true, ..settings() }, 1);
     let (ix, _) = b.place(0, ask(3, 0));
     b.probed(10, 0, Outcome::Accepted, 10, 0.0, 0.0);
-    b.chores(10);
+    b.poll(10);
     b.stood(20, ix);
     let probes = |from, b: &mut Balancer| {
-        (from..from + 4).flat_map(|n| b.chores(n * SECOND / 4)).filter(|c| *c == Chore::Probe(0)).count()
+        (from..from + 4).flat_map(|n| b.poll(n * SECOND / 4)).filter(|c| *c == Chore::Probe(0)).count()
     };
     assert_eq!(probes(4, &mut b), 0, "it was heard of lately");
     b.noted(2 * SECOND, ix, Note::Unanswered);
@@ -871,7 +871,7 @@
     placed.iter().for_each(|(ix, _)| b.stood(10, *ix));
     let crowded = dialled(placed[0].1);
     b.noted(20, placed[0].0, Note::Delay(400));
-    let moved = b.chores(SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).count();
+    let moved = b.poll(SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).count();
     assert!((1..=2).contains(&moved), "moved {moved}");
     assert_ne!(dialled(b.place(SECOND, ask(3, 0)).1), crowded);
 }
@@ -884,7 +884,7 @@
         let owner = dialled(fleet(settings(), 2).place(0, ask(3, 0)).1);
         b.probed(0, owner, Outcome::Accepted, if crowded { 400 } else { 10 }, 0.0, 0.0);
         (1..80u64).find(|n| {
-            (0..5).for_each(|part| drop(b.chores((n - 1) * SECOND + part * SECOND / 5)));
+            (0..5).for_each(|part| drop(b.poll((n - 1) * SECOND + part * SECOND / 5)));
             let (ix, verdict) = b.place(n * SECOND, ask(3, 0));
             let verdict = once_probed(&mut b, n * SECOND, 2, verdict);
             b.left(ix);
@@ -901,18 +901,18 @@
     b.heard_list(0, Scope::Changes, &[entry(1, State::Gone, 0)]);
     for key in 1..21 {
         let (ix, _) = b.place(0, ask(key, 0));
-        b.chores(0);
+        b.poll(0);
         b.probed(10, 0, Outcome::Accepted, 10, 0.1, 0.0);
-        b.chores(10);
+        b.poll(10);
         b.stood(20, ix);
         // A line comes back and tells the load of one: the server answers, which is not to say in time.
         b.noted(20, ix, Note::Load(1000.0));
     }
-    let chores = b.chores(2 * SECOND);
-    assert!(chores.contains(&Chore::Probe(0)), "a server that holds many is asked though it is heard of");
+    let done = b.poll(2 * SECOND);
+    assert!(done.contains(&Chore::Probe(0)), "a server that holds many is asked though it is heard of");
     b.heard_list(2 * SECOND, Scope::Changes, &[entry(1, State::Ready, 0)]);
     b.probed(2 * SECOND, 0, Outcome::Accepted, 10, 1.8, 0.0);
-    let moved = |b: &mut Balancer, now| b.chores(now).iter().filter(|c| matches!(c, Chore::Move(_))).count();
+    let moved = |b: &mut Balancer, now| b.poll(now).iter().filter(|c| matches!(c, Chore::Move(_))).count();
     assert!((9..=11).contains(&moved(&mut b, 3 * SECOND)), "half of its load is too much");
     assert_eq!(moved(&mut b, 4 * SECOND), 0, "once for each time that it tells");
 }
@@ -922,10 +922,10 @@
 fn where_the_load_is_told_it_alone_says_what_a_server_bears() {
     let mut b = fleet(Settings { probing: true, tells_load: true, ..settings() }, 1);
     let (first, _) = b.place(0, ask(5, 0));
-    b.chores(0);
+    b.poll(0);
     b.probed(400, 0, Outcome::Accepted, 400, 0.0, 0.0);
     let told = Chore::Tell(first, Verdict::Dial { server: 0, limit: 2 * SECOND - 400, by: 2 * SECOND });
-    assert!(b.chores(400).contains(&told), "it is idle, however late its answer");
+    assert!(b.poll(400).contains(&told), "it is idle, however late its answer");
     b.stood(500, first);
     b.probed(SECOND, 0, Outcome::Accepted, 10, 1.2, 0.0);
     assert!(matches!(b.place(2 * SECOND, ask(5, 0)).1, Verdict::Refuse { .. }), "no more than it holds");
@@ -973,7 +973,7 @@
     let heavy = there[there.len() / 2];
     b.noted(20, heavy, Note::Load(20_000.0));
     b.probed(2 * SECOND, 0, Outcome::Accepted, 10, 0.9, 0.0);
-    let moves: Vec<_> = b.chores(2 * SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
+    let moves: Vec<_> = b.poll(2 * SECOND).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
     assert_eq!(moves, [Chore::Move(heavy)]);
 }
 
@@ -987,7 +987,7 @@
     let (mut moved, mut most) = (0, 0);
     for n in 5..=18 {
         let now: Vec<_> =
-            b.chores(n * SECOND / 5).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
+            b.poll(n * SECOND / 5).into_iter().filter(|c| matches!(c, Chore::Move(_))).collect();
         now.iter().for_each(|c| {
             if let Chore::Move(ix) = c {
                 b.left(*ix)
@@ -1142,10 +1142,10 @@
 fn a_failed_list_call_is_made_again_in_time() {
     let set = Settings { on_request: true, ..settings() };
     let mut b = fleet(set.clone(), 3);
-    assert!(b.chores(0).contains(&Chore::Subscribe));
+    assert!(b.poll(0).contains(&Chore::Subscribe));
     b.list_failed(SECOND);
     assert!(b.due() < SECOND + set.must_ask_in);
-    assert!(b.chores(SECOND + set.must_ask_in).contains(&Chore::Subscribe));
+    assert!(b.poll(SECOND + set.must_ask_in).contains(&Chore::Subscribe));
 }
 
 /// The server of a session's first dial, at a proxy of that zone, drawn anew for each seed.
@@ -1226,9 +1226,8 @@
     let mut b = fleet(settings(), 4);
     let (ix, _) = b.place(0, ask(3, 0));
     b.stood(10, ix);
-    let moves = |b: &mut Balancer, from| {
-        (from..from + 8).any(|n| b.chores(n * SECOND / 5).contains(&Chore::Move(ix)))
-    };
+    let moves =
+        |b: &mut Balancer, from| (from..from + 8).any(|n| b.poll(n * SECOND / 5).contains(&Chore::Move(ix)));
     b.noted(SECOND, ix, Note::Delay(3 * SECOND));
     b.noted(SECOND + 10, ix, Note::Delay(10));
     assert!(!moves(&mut b, 5), "it serves again");
@@ -1242,7 +1241,7 @@
         let mut b = fleet(Settings { probing, ..settings() }, 8);
         let placed: Vec<_> = (1..31).map(|key| b.place(0, ask(key, 0)).0).collect();
         for ix in &placed {
-            b.chores(SECOND);
+            b.poll(SECOND);
             b.settled(2 * SECOND, *ix, Outcome::Late, false);
         }
         (31..61).filter(|key| matches!(b.place(2 * SECOND, ask(*key, 0)).1, Verdict::Refuse { .. })).count()
--- a/crates/larklink/tests/store_jam.rs
+++ b/crates/larklink/tests/store_jam.rs
@@ -151,9 +151,9 @@
         }
     }
 
-    fn chores(&mut self, now: Time, p: usize) {
+    fn poll(&mut self, now: Time, p: usize) {
         let life = self.fleet[p].life;
-        for chore in self.fleet[p].b.chores(now) {
+        for chore in self.fleet[p].b.poll(now) {
             match chore {
                 Chore::Probe(server) => self.at(now + 20, Event::Probed { proxy: p, life, server }),
                 Chore::Tell(ix, verdict) => self.does(now, p, ix, verdict),
@@ -188,7 +188,7 @@
                 let (ix, verdict) = self.fleet[p].b.place(now, ask);
                 self.fleet[p].sessions.insert(ix, (tries, 0));
                 self.does(now, p, ix, verdict);
-                self.chores(now, p);
+                self.poll(now, p);
             }
             Event::Through { proxy, life, ix, dial } | Event::Over { proxy, life, ix, dial } => {
                 let x = &mut self.fleet[proxy];
@@ -203,17 +203,17 @@
                     x.b.settled(now, ix, Outcome::Late, true);
                     self.again(now, tries, 0);
                 }
-                self.chores(now, proxy);
+                self.poll(now, proxy);
             }
             Event::Probed { proxy, life, server } => {
                 if self.fleet[proxy].life == life {
                     let how = if server % HANGS == 0 { Outcome::Late } else { Outcome::Accepted };
                     self.fleet[proxy].b.probed(now, server, how, 20, 0.3, 30.0);
-                    self.chores(now, proxy);
+                    self.poll(now, proxy);
                 }
             }
             Event::Round(p) => {
-                self.chores(now, p);
+                self.poll(now, p);
                 self.at(now + SECOND / 5, Event::Round(p));
             }
             Event::Restart(p) => {
