--- a/crates/larklink-proxy/src/clients.rs
+++ b/crates/larklink-proxy/src/clients.rs
@@ -19,7 +19,7 @@
 use crate::events::{Event, Queue};
 use crate::figures::{Answer, Figures, InProgress};
 use crate::handover::wire::Standing;
-use crate::handover::{Given, Heir};
+use crate::handover::{HandedOver, Successor};
 use crate::limiter::{ConnectionLimiter, ConnectionPermit};
 use crate::lines::{Head, Inbox, head};
 use crate::log::Reason;
@@ -63,7 +63,7 @@
     pub limiter: Rc<ConnectionLimiter>,
     /// The ids of the sessions that are open here, and their clients' keys.
     pub open: RefCell<HashMap<u64, u64>>,
-    pub heir: Rc<Heir>,
+    pub successor: Rc<Successor>,
 }
 
 pub(crate) struct Client {
@@ -91,7 +91,7 @@
 }
 
 /// Goes on with a session that stands, given by the process before this one.
-pub async fn inherit(front: Rc<Front>, (mut was, client, server): Given) {
+pub async fn inherit(front: Rc<Front>, (mut was, client, server): HandedOver) {
     let started = Instant::now();
     let link = |stream, bytes: &mut Vec<u8>| {
         let inbox = Inbox::holding(std::mem::take(bytes))?;
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -63,13 +63,13 @@
 }
 
 /// A session that an old process gave, with its client's connection and its server's.
-pub type Given = (Standing, TcpStream, TcpStream);
+pub type HandedOver = (Standing, TcpStream, TcpStream);
 
 /// The new process to which the sessions go that stand, once this one is asked to stop.
 #[derive(Default)]
-pub struct Heir(RefCell<Option<Rc<Mouth>>>);
+pub struct Successor(RefCell<Option<Rc<Mouth>>>);
 
-impl Heir {
+impl Successor {
     pub fn is_there(&self) -> bool {
         self.0.borrow().is_some()
     }
@@ -92,11 +92,11 @@
     pub stop: Receiver<()>,
     /// The listening socket, until this process takes no more connections.
     pub listener: RefCell<Option<TcpListener>>,
-    pub heir: Rc<Heir>,
-    /// An heir has gone before this process was to stop.
+    pub successor: Rc<Successor>,
+    /// A successor has gone before this process was to stop.
     pub lost: (Sender<()>, Receiver<()>),
     /// Takes the sessions that an old process gives.
-    pub given: Sender<Given>,
+    pub handed_over: Sender<HandedOver>,
 }
 
 impl Handover {
@@ -158,7 +158,7 @@
                 Ok(Reply::Session(session)) => match (old.ear.beside(), old.ear.beside()) {
                     (Ok(client), Ok(server)) => {
                         sessions += 1;
-                        let _ = self.given.send((session, client.into(), server.into())).await;
+                        let _ = self.handed_over.send((session, client.into(), server.into())).await;
                     }
                     (Err(e), _) | (_, Err(e)) => break e,
                 },
@@ -214,12 +214,12 @@
         if let Err(e) = self.converse(&mut ear, &mouth).await {
             tracing::info!("the new process is gone: {e}");
         }
-        let heir = self.heir.0.borrow().clone();
-        let mine = heir.is_some_and(|heir| Rc::ptr_eq(&heir, &mouth));
+        let successor = self.successor.0.borrow().clone();
+        let mine = successor.is_some_and(|successor| Rc::ptr_eq(&successor, &mouth));
         if mine {
-            self.heir.0.take();
+            self.successor.0.take();
         }
-        if !self.heir.is_there() {
+        if !self.successor.is_there() {
             self.limiter.leave_to(0);
         }
         if mine && !self.stop.is_closed() {
@@ -260,14 +260,14 @@
             };
             let held = || self.limiter.in_use();
             match heard.or(stop).or(look).await? {
-                Step::Heard(Reply::Take) if self.heir.is_there() => {
+                Step::Heard(Reply::Take) if self.successor.is_there() => {
                     return mouth.say(&Reply::Taken, &[]).await;
                 }
                 Step::Heard(Reply::Take) => {
                     tracing::info!("gives the connections to a new process");
                     let _ = self.taking.send(false).await;
                     (mine, last) = (true, held());
-                    self.heir.0.replace(Some(Rc::clone(mouth)));
+                    self.successor.0.replace(Some(Rc::clone(mouth)));
                     mouth.say(&Reply::Yours { held: last }, &[]).await?;
                 }
                 Step::Heard(other) => return Err(bad(format!("{other:?} was not asked for"))),
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -103,10 +103,10 @@
         next: Cell::new(0),
         limiter: Rc::clone(&limiter),
         open: RefCell::default(),
-        heir: Rc::default(),
+        successor: Rc::default(),
     });
     let (taking, turns) = async_channel::bounded(1);
-    let (given, sessions) = async_channel::bounded(1);
+    let (handed_over, sessions) = async_channel::bounded(1);
     let handover = place.map(|place| {
         Rc::new(Handover {
             place,
@@ -115,9 +115,9 @@
             taking,
             stop: stop.clone(),
             listener: kept.into(),
-            heir: Rc::clone(&front.heir),
+            successor: Rc::clone(&front.successor),
             lost: async_channel::bounded(1),
-            given,
+            handed_over,
         })
     });
     // While an old process takes connections, this one does not.
@@ -206,7 +206,7 @@
         figures.set_ready(false);
         front.until();
         // None comes any more where a new process takes them.
-        if !front.heir.is_there() {
+        if !front.successor.is_there() {
             Timer::after(STILL_COMING).await;
         }
     };
--- a/crates/larklink-proxy/src/relay.rs
+++ b/crates/larklink-proxy/src/relay.rs
@@ -113,7 +113,7 @@
                 unanswered: pipe.sent.borrow().len(),
                 load: pipe.load.get(),
             };
-            if self.heir.give(session, pipe.to_client.get_ref(), pipe.to_server.get_ref()).await {
+            if self.successor.give(session, pipe.to_client.get_ref(), pipe.to_server.get_ref()).await {
                 break end;
             }
             // The new process is gone: this one ends the session as if there had been none.
@@ -287,9 +287,9 @@
             let left = self.front.until().saturating_duration_since(Instant::now());
             let share = self.front.chance.borrow_mut().random_range(0.0..MOVED_BY);
             let at = Instant::now() + left.mul_f64(share);
-            // A new process may come to be the heir only now.
+            // A new process may come to be the successor only now.
             while self.front.passes || Instant::now() < at {
-                if self.front.heir.is_there() && !self.alone.get() && !self.ending.get() {
+                if self.front.successor.is_there() && !self.alone.get() && !self.ending.get() {
                     return Reason::HandedOver;
                 }
                 Timer::after(LOOK).await;
