Who goes on mid-flow says nothing of the session store and opens no window

Cause: Balancer::stood took every prompt set-up for a word on the store, also that of a session that goes on mid-flow at its server, which asks the store for nothing (as `next` has it).

Change: `stood` counts only those that asked. The tests share what leads up to a jam.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -1,8 +1,8 @@
 //! Where each session goes: every decision of a larklink proxy, with no I/O, clock or wire.
 //!
-//! Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]), ask where a session goes
-//! ([`Balancer::place`]) and whether again ([`Balancer::settled`]), tell it what else is seen (`stood`, `noted`,
-//! `probed`, `left`). After each call, and at [`Balancer::due`], carry out what [`Balancer::poll`] returns.
+//! Make one [`Balancer`] a proxy, hand it the server list ([`Balancer::heard_list`]), ask where a session
+//! goes ([`Balancer::place`]) and whether again ([`Balancer::settled`]), tell what else is seen (`stood`,
+//! `noted`, `probed`, `left`). After each call, and at [`Balancer::due`], do what [`Balancer::poll`] returns.
 //! The ordinary path is the bucket table of `docs/design.md`, where a row stands for each departure below.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -243,8 +243,7 @@
     /// The same over those that came since the start, the latest most: pairs in all, and in one bucket.
     seen: (f64, f64),
     /// The mean load that was told, and by how many notes.
-    unit: f64,
-    notes: f64,
+    unit: (f64, f64),
     /// Sessions that servers told they hold, and for how much weight at full load, over the latest answers.
     bears: (f64, f64),
     /// When a session last came, or this process started: what was due earlier its forerunner has spent.
@@ -290,8 +289,7 @@
             mates: vec![0; BUCKETS as usize],
             pairs: 0,
             seen: (0.0, 0.0),
-            unit: 0.0,
-            notes: 0.0,
+            unit: (0.0, 0.0),
             bears: (0.0, 0.0),
             came: now,
             out: 0.0,
@@ -401,8 +399,12 @@
         sess.phase = Phase::Stands;
         self.out -= 1.0;
         let (server, took, patience) = (sess.server, now - sess.sent, sess.ask.patience);
+        // Who goes on mid-flow asked the store for nothing: prompt, he opened windows before a jammed one.
+        let asked = !sess.ask.mid_flow || sess.dials > 1;
         self.servers[server].heard(now);
-        self.answered(now, server, Outcome::Accepted, took, patience);
+        if asked {
+            self.answered(now, server, Outcome::Accepted, took, patience);
+        }
     }
 
     /// Errors and set-ups that took long, on two servers in turn and none prompt between, point at the store
@@ -455,9 +457,9 @@
             return s.misses = s.misses.max(1);
         }
         if let Note::Load(load) = note {
-            self.notes = (self.notes + 1.0).min(MEMORY);
-            self.unit += (load - self.unit) / self.notes;
-            sess.load = if self.unit > 0.0 { load / self.unit } else { 1.0 };
+            self.unit.1 = (self.unit.1 + 1.0).min(MEMORY);
+            self.unit.0 += (load - self.unit.0) / self.unit.1;
+            sess.load = if self.unit.0 > 0.0 { load / self.unit.0 } else { 1.0 };
             let row = &mut self.rows[sess.ask.listener];
             row.load += (sess.load - row.load) / MEMORY.sqrt();
         }
@@ -515,7 +517,7 @@
 
     /// Housekeeping: asks for the list, probes the quiet, moves sessions off servers.
     pub fn poll(&mut self, now: Time) -> Vec<Chore> {
-        // Where connecting takes longer than a drain's grace, new work came after it: what is not sent yet goes
+        // Where connecting takes longer than a drain's grace, new work came after it: what is not sent goes
         // elsewhere, mid-flow sessions keep half the grace. It may hurt where all drain, as the dial counts.
         let relisted = std::mem::take(&mut self.relisted);
         for (ix, x) in self.sessions.iter().filter(|(_, x)| relisted && x.phase == Phase::Dials) {
@@ -750,14 +752,12 @@
             let by = self.permit(&sess, server).min(now + limit);
             return Verdict::Dial { server, limit, by };
         }
-        // The final answer: a refusal where that is true.
         self.shut.0 += 1;
         self.remove(ix);
         let harmless = match (kind, sess.may_have_run) {
             (_, None) | (Kind::Repeatable, _) => true,
-            // Who comes again after the longest wait that he may be told has to find his reference still
-            // known: a refusal at the end of a short window led to a second effect. It may hurt where windows
-            // are shorter than such waits, as all of these are torn down then.
+            // Who comes again after the longest wait has to find his reference still known, else he has
+            // effect twice. It may hurt where windows are shorter than such waits: all these are torn down.
             (Kind::Referenced { group: Group::All, window }, Some((_, sent))) => {
                 now + self.set.max_retry_after < sent + window
             }
--- a/crates/larklink/tests/rules.rs
+++ b/crates/larklink/tests/rules.rs
@@ -1265,6 +1265,23 @@
     );
 }
 
+/// One of three hundred proxies whose first four dials were late, now, and the last key that asked.
+fn late_four_times(seed: u64) -> (Balancer, Time, u64) {
+    let mut b = Balancer::new(Settings { proxies: 300, max_dials: 1, ..settings() }, seed, 0);
+    b.heard_list(0, Scope::Cached, &[0, 1, 2, 3].map(|s| entry(s, State::Ready, 0)));
+    let (mut now, mut late, mut key) = (0, 0, 0);
+    while late < 4 {
+        (now, key) = (now + SECOND / 10, key + 1);
+        let (ix, verdict) = b.place(now, ask(key, 0));
+        if matches!(verdict, Verdict::Dial { .. }) {
+            now += 2 * SECOND;
+            b.settled(now, ix, Outcome::Late, true);
+            late += 1;
+        }
+    }
+    (b, now, key)
+}
+
 /// Reported from a rolling restart: under one dial the window was a chance for each session that came, whatever a set-up
 /// took. After a jam each of hundreds opened by a dial in four seconds, and in one their clients' tries kept it up.
 #[test]
@@ -1273,18 +1290,7 @@
     let dials = |took: Time, span: Time| {
         let (mut sent, mut told) = (0, 0);
         for seed in 0..100 {
-            let mut b = Balancer::new(Settings { proxies: 300, max_dials: 1, ..settings() }, seed, 0);
-            b.heard_list(0, Scope::Cached, &[0, 1, 2, 3].map(|s| entry(s, State::Ready, 0)));
-            let (mut now, mut late, mut key) = (0, 0, 0);
-            while late < 4 {
-                (now, key) = (now + SECOND / 10, key + 1);
-                let (ix, verdict) = b.place(now, ask(key, 0));
-                if matches!(verdict, Verdict::Dial { .. }) {
-                    now += 2 * SECOND;
-                    b.settled(now, ix, Outcome::Late, true);
-                    late += 1;
-                }
-            }
+            let (mut b, now, mut key) = late_four_times(seed);
             let logs = b.poll(now).iter().filter(|c| matches!(c, Chore::Log(_))).count();
             assert!(logs <= 1, "it says {logs} times that dials are held back");
             told += logs;
@@ -1311,3 +1317,21 @@
     assert!(well > 9.0, "{well} of 13 who ask are dialled for where a set-up takes 10 ms");
     assert!(slow < 3.5, "{slow} dials in 4 s where one takes 600 ms and the window has closed");
 }
+
+/// Who goes on mid-flow asks the session store for nothing: hundreds that came prompt through restarted proxies opened the
+/// windows before a store that was jammed.
+#[test]
+fn who_goes_on_mid_flow_does_not_open_the_window_on_set_ups() {
+    let mut dialled_at_once = 0;
+    for seed in 0..100 {
+        let (mut b, mut now, _) = late_four_times(seed);
+        for n in 0..20 {
+            let (ix, verdict) = b.place(now, Session { mid_flow: true, ..ask(1000 + n, 0) });
+            dialled(verdict);
+            now += 10;
+            b.stood(now, ix);
+        }
+        dialled_at_once += u32::from(matches!(b.place(now, ask(99, 0)).1, Verdict::Dial { .. }));
+    }
+    assert!(dialled_at_once < 20, "{dialled_at_once} of 100 dial at once before a store that has been late");
+}
