Said as it is: many tries cut short the rest of a window under one dial

The chance of the next dial grows during its rest, so many tries bring it up early; reckoned, a proxy that 500 ask a second rests a fraction of it. Found in reading the change again. Words only; fmt, clippy of the module and its 53 rule tests pass.

--- a/crates/larklink/src/balancer.rs
+++ b/crates/larklink/src/balancer.rs
@@ -426,9 +426,9 @@
                 self.todo.push(Chore::Log("set-ups fail on several servers: dials held back".into()));
             }
         }
-        // Under one dial it is the share of the time in which one is out. So hundreds of proxies slow down as
-        // their store does, however often the refused come again: as a chance for each who came it kept jams
-        // up and opened late. Errors come at once, and count as long ones. It may hurt where one took long.
+        // Under one dial it is the share of the time in which one is out, so that hundreds of proxies slow
+        // down as their store does: as a chance for each who came it kept jams up and opened late. Errors
+        // come at once, and count as long ones. It may hurt where one took long; many tries cut a rest short.
         self.rests = (now, took as f64 * (1.0 / self.window - 1.0).max(0.0));
     }
 
