Bound the memory of the bucket table, whatever the number of endpoints

Cause: BucketTable kept for each bucket that was asked for the ranking of all ready endpoints until the list changed: 4,096 x 3,200 entries, each of 24 bytes, since the ranking was collected in place and kept the allocation of the scores.

Change: a ranking is computed as far as it is asked for (256 endpoints, then all), and all cached rankings together have at most 2^19 endpoints (4 MiB). The owner of an established connection is found without ranking the whole fleet. The order is the same, so no decision changes.

--- a/crates/larklink-balancer/src/balancer.rs
+++ b/crates/larklink-balancer/src/balancer.rs
@@ -425,13 +425,12 @@
         let placement = Placement {
             settings: &self.settings,
             endpoints: &mut self.endpoints,
-            bucket_table: &mut self.bucket_table,
             population: &self.population,
             reported_capacity: &self.reported_capacity,
             migration_budget: &self.migration_budget,
             rng: &mut self.rng,
         };
-        let endpoint = placement.choose(now, session)?;
+        let endpoint = placement.choose(now, session, &mut self.bucket_table)?;
         if session.attempts() == 0 {
             return Some(endpoint);
         }
--- a/crates/larklink-balancer/src/bucket_table.rs
+++ b/crates/larklink-balancer/src/bucket_table.rs
@@ -3,6 +3,7 @@
 //! Sessions are hashed to buckets, and weighted rendezvous hashing ranks the endpoints for each bucket. All
 //! proxies compute the same table.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,6 +17,11 @@
 /// The number of first endpoints of a ranking among which one in the local zone is preferred. Not all
 /// endpoints are considered, since a zone may have too few for its traffic.
 const LOCAL_ZONE_CANDIDATES: usize = 6;
+/// The number of first endpoints of a ranking that are computed at first, more than most sessions need.
+const PREFIX_LENGTH: usize = 256;
+/// The most endpoints in all cached rankings together, at 8 bytes each. Bounds the memory of the table whatever
+/// the size of the fleet, which may have some thousand endpoints.
+const MAX_CACHED_ENDPOINTS: usize = 1 << 19;
 /// The factor by which the weight of earlier pairs decays with each received session.
 const PAIR_RETENTION: f64 = 1.0 - 1.0 / 65_536.0;
 
@@ -36,55 +42,159 @@
     -weight / fraction.ln()
 }
 
-/// Returns the endpoints that pass the filter, by descending score for the bucket.
-pub(crate) fn rank(
+/// An endpoint and its score for a bucket.
+struct Scored {
+    score: f64,
+    id: u32,
+    endpoint: EndpointIndex,
+}
+
+impl Scored {
+    /// Orders by descending score. No two endpoints are equal, so each sort has the same result.
+    fn rank_order(&self, other: &Self) -> Ordering {
+        let by_score = other.score.total_cmp(&self.score);
+        by_score.then(self.id.cmp(&other.id)).then(self.endpoint.cmp(&other.endpoint))
+    }
+}
+
+/// Returns the first endpoints that pass the filter, at most `limit`, by descending score for the bucket.
+fn rank(
     endpoints: &EndpointSet,
     bucket: u64,
+    limit: usize,
     filter: impl Fn(&Endpoint) -> bool,
 ) -> Vec<EndpointIndex> {
-    struct Scored {
-        score: f64,
-        id: u32,
-        endpoint: EndpointIndex,
-    }
     let score = |endpoint: &Endpoint| {
         let entry = endpoint.entry();
         let score = rendezvous_score(bucket, entry.id, endpoints.weight(endpoint));
         Scored { score, id: entry.id, endpoint: entry.index }
     };
     let mut scored: Vec<_> = endpoints.iter().filter(|endpoint| filter(endpoint)).map(score).collect();
-    scored.sort_by(|a, b| b.score.total_cmp(&a.score).then(a.id.cmp(&b.id)));
-    scored.into_iter().map(|scored| scored.endpoint).collect()
+    if limit < scored.len() {
+        scored.select_nth_unstable_by(limit, Scored::rank_order);
+        scored.truncate(limit);
+    }
+    scored.sort_unstable_by(Scored::rank_order);
+    // Collected from references: the result must not keep the allocation of `scored`.
+    scored.iter().map(|scored| scored.endpoint).collect()
 }
 
-/// Moves the first endpoint of the local zone to the front of the ranking if it is among the
-/// `LOCAL_ZONE_CANDIDATES` first ones.
-pub(crate) fn prefer_local_zone(
-    ranking: &mut [EndpointIndex],
+/// Returns the owner of a bucket among the endpoints that pass the filter: the first one of the local zone if
+/// it is among the `LOCAL_ZONE_CANDIDATES` first ones, else the first one.
+pub(crate) fn owner(
     endpoints: &EndpointSet,
+    bucket: u64,
     local_zone: Option<u16>,
-) {
+    filter: impl Fn(&Endpoint) -> bool,
+) -> Option<EndpointIndex> {
+    let mut candidates = rank(endpoints, bucket, LOCAL_ZONE_CANDIDATES, filter);
+    prefer_local_zone(&mut candidates, endpoints, local_zone);
+    candidates.first().copied()
+}
+
+/// Moves the first endpoint of the local zone to the front of the ranking if it is among the
+/// `LOCAL_ZONE_CANDIDATES` first ones.
+fn prefer_local_zone(ranking: &mut [EndpointIndex], endpoints: &EndpointSet, local_zone: Option<u16>) {
     let is_local = |index: &EndpointIndex| local_zone == Some(endpoints[*index].entry().zone);
     if let Some(position) = ranking.iter().take(LOCAL_ZONE_CANDIDATES).position(is_local) {
         ranking[..=position].rotate_right(1);
     }
 }
 
-/// The rankings of the ready endpoints by bucket, computed on first use.
+/// The first ready endpoints of a bucket's ranking.
+#[derive(Debug)]
+struct RankingPrefix {
+    endpoints: Vec<EndpointIndex>,
+    /// Whether it is the whole ranking.
+    complete: bool,
+}
+
+/// A cache of rankings, computed on first use as far as they are needed.
 #[derive(Debug, Default)]
 pub(crate) struct BucketTable {
-    rankings: BTreeMap<u64, Vec<EndpointIndex>>,
+    prefixes: BTreeMap<u64, RankingPrefix>,
+    /// The total length of the prefixes.
+    cached_endpoints: usize,
 }
 
 impl BucketTable {
     /// Discards all rankings, as the endpoint list has changed.
     pub(crate) fn clear(&mut self) {
-        self.rankings.clear();
+        self.prefixes.clear();
+        self.cached_endpoints = 0;
+    }
+
+    /// Returns the ready endpoints by descending score for the bucket, with one of the local zone preferred.
+    pub(crate) fn ranking<'a>(
+        &'a mut self,
+        bucket: u64,
+        endpoints: &EndpointSet,
+        local_zone: Option<u16>,
+    ) -> Ranking<'a> {
+        let mut first = self.prefix(bucket, endpoints, PREFIX_LENGTH).to_vec();
+        prefer_local_zone(&mut first, endpoints, local_zone);
+        Ranking { table: self, bucket, first }
+    }
+
+    /// Returns at least the first `count` ready endpoints by descending score, or all if there are fewer.
+    fn prefix(&mut self, bucket: u64, endpoints: &EndpointSet, count: usize) -> &[EndpointIndex] {
+        let cached = self.prefixes.get(&bucket);
+        if cached.is_none_or(|prefix| !prefix.complete && prefix.endpoints.len() < count) {
+            self.insert(bucket, RankingPrefix::compute(bucket, endpoints, count));
+        }
+        &self.prefixes[&bucket].endpoints
+    }
+
+    fn insert(&mut self, bucket: u64, prefix: RankingPrefix) {
+        if self.cached_endpoints + prefix.endpoints.len() > MAX_CACHED_ENDPOINTS {
+            self.clear();
+        }
+        self.cached_endpoints += prefix.endpoints.len();
+        if let Some(replaced) = self.prefixes.insert(bucket, prefix) {
+            self.cached_endpoints -= replaced.endpoints.len();
+        }
+    }
+}
+
+impl RankingPrefix {
+    /// Computes a prefix of `PREFIX_LENGTH` if that is at least `count`, else the whole ranking.
+    fn compute(bucket: u64, endpoints: &EndpointSet, count: usize) -> Self {
+        let limit = if count <= PREFIX_LENGTH { PREFIX_LENGTH } else { usize::MAX };
+        let endpoints = rank(endpoints, bucket, limit, Endpoint::is_ready);
+        Self { complete: endpoints.len() < limit, endpoints }
+    }
+}
+
+/// The ready endpoints for a session, by descending score for its bucket except that one of the local zone is
+/// preferred and the first ones may have been rotated. A fleet may have thousands of endpoints, of which most
+/// sessions need a few, so the later ones are ranked when they are asked for.
+pub(crate) struct Ranking<'a> {
+    table: &'a mut BucketTable,
+    bucket: u64,
+    first: Vec<EndpointIndex>,
+}
+
+impl Ranking<'_> {
+    /// Returns the endpoint at a position. `all` must be as it was when the ranking was obtained.
+    pub(crate) fn get(&mut self, position: usize, all: &EndpointSet) -> Option<EndpointIndex> {
+        if position >= self.first.len() {
+            let known = self.first.len();
+            let prefix = self.table.prefix(self.bucket, all, position + 1);
+            // The first ones keep their order.
+            self.first.extend_from_slice(&prefix[known..]);
+        }
+        self.first.get(position).copied()
+    }
+
+    /// Returns the endpoints in order. `all` must be as it was when the ranking was obtained.
+    pub(crate) fn iter(&mut self, all: &EndpointSet) -> impl Iterator<Item = EndpointIndex> {
+        (0..).map_while(move |position| self.get(position, all))
     }
 
-    /// Returns the ready endpoints by descending score for the bucket.
-    pub(crate) fn ranking(&mut self, bucket: u64, endpoints: &EndpointSet) -> &[EndpointIndex] {
-        self.rankings.entry(bucket).or_insert_with(|| rank(endpoints, bucket, Endpoint::is_ready))
+    /// Rotates the first `count` endpoints, which must have been returned before, so that the one at `start`
+    /// comes first.
+    pub(crate) fn rotate_first(&mut self, count: usize, start: usize) {
+        self.first[..count].rotate_left(start);
     }
 }
 
--- a/crates/larklink-balancer/src/placement.rs
+++ b/crates/larklink-balancer/src/placement.rs
@@ -3,8 +3,8 @@
 use rand::{RngExt, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
-use crate::bucket_table::{self, BucketPopulation, BucketTable};
-use crate::endpoint::EndpointSet;
+use crate::bucket_table::{self, BucketPopulation, BucketTable, Ranking};
+use crate::endpoint::{Endpoint, EndpointSet};
 use crate::ids::EndpointIndex;
 use crate::load::{ReadyTotals, ReportedCapacity};
 use crate::migration::MigrationBudget;
@@ -55,7 +55,6 @@
 pub(crate) struct Placement<'a> {
     pub(crate) settings: &'a Settings,
     pub(crate) endpoints: &'a mut EndpointSet,
-    pub(crate) bucket_table: &'a mut BucketTable,
     pub(crate) population: &'a BucketPopulation,
     pub(crate) reported_capacity: &'a ReportedCapacity,
     pub(crate) migration_budget: &'a MigrationBudget,
@@ -64,21 +63,27 @@
 
 impl Placement<'_> {
     /// Returns the endpoint for the session's next attempt, or `None` if no endpoint admits it.
-    pub(crate) fn choose(mut self, now: Timestamp, session: &Session) -> Option<EndpointIndex> {
+    pub(crate) fn choose(
+        mut self,
+        now: Timestamp,
+        session: &Session,
+        bucket_table: &mut BucketTable,
+    ) -> Option<EndpointIndex> {
         if session.resumes_established()
             && let Some(owner) = self.presumed_owner(now, session)
         {
             return Some(owner);
         }
-        let mut ranking = self.bucket_table.ranking(session.bucket(), self.endpoints).to_vec();
-        bucket_table::prefer_local_zone(&mut ranking, self.endpoints, self.settings.local_zone);
+        let local_zone = self.settings.local_zone;
+        let mut ranking = bucket_table.ranking(session.bucket(), self.endpoints, local_zone);
         let ready = self.endpoints.ready_totals();
         let spread_count = self.spread_group(session.bucket(), ready, &mut ranking);
         let mut walk = Walk::default();
-        for endpoint in ranking {
+        for position in 0.. {
             if walk.passed >= MAX_ENDPOINTS_PASSED + spread_count {
                 break;
             }
+            let Some(endpoint) = ranking.get(position, self.endpoints) else { break };
             match self.assess(now, session, endpoint, ready, walk.passed) {
                 Candidate::Excluded => {}
                 Candidate::Full => walk.passed += 1,
@@ -96,37 +101,38 @@
     /// Returns the endpoint that presumably holds a connection established through another proxy: the first
     /// endpoint of the bucket's ranking that may hold it. `None` if that endpoint is ejected.
     fn presumed_owner(&self, now: Timestamp, session: &Session) -> Option<EndpointIndex> {
-        let mut ranking = bucket_table::rank(self.endpoints, session.bucket(), |endpoint| {
-            endpoint.may_hold_established(now, self.settings)
-        });
-        bucket_table::prefer_local_zone(&mut ranking, self.endpoints, self.settings.local_zone);
-        ranking.first().copied().filter(|&owner| !self.endpoints[owner].outlier.is_ejected())
+        let may_hold = |endpoint: &Endpoint| endpoint.may_hold_established(now, self.settings);
+        let owner =
+            bucket_table::owner(self.endpoints, session.bucket(), self.settings.local_zone, may_hold)?;
+        (!self.endpoints[owner].outlier.is_ejected()).then_some(owner)
     }
 
     /// Returns how many of the first endpoints the bucket spreads over: as many as fit in its share of the
     /// total weight of the ready endpoints. If no load is reported, rotates the ranking to start at one of
     /// them, drawn at random by weight.
-    fn spread_group(&mut self, bucket: u64, ready: ReadyTotals, ranking: &mut [EndpointIndex]) -> usize {
+    fn spread_group(&mut self, bucket: u64, ready: ReadyTotals, ranking: &mut Ranking) -> usize {
         let group_share = self.population.share_by_open_sessions(bucket);
-        let spread_count = self.count_within_weight(ranking, group_share * ready.weight);
+        let group_weight = group_share * ready.weight;
+        let spread_count = self.count_within_weight(ranking.iter(self.endpoints), group_weight);
         if spread_count > 1 && !self.settings.load_reports {
-            let total_weight: f64 =
-                ranking[..spread_count].iter().map(|&endpoint| self.weight(endpoint)).sum();
+            let spread = ranking.iter(self.endpoints).take(spread_count);
+            let total_weight: f64 = spread.map(|endpoint| self.weight(endpoint)).sum();
             let drawn_weight = self.rng.random::<f64>() * total_weight;
-            let start = self.count_within_weight(&ranking[..spread_count - 1], drawn_weight);
-            ranking[..spread_count].rotate_left(start);
+            let all_but_last = ranking.iter(self.endpoints).take(spread_count - 1);
+            let start = self.count_within_weight(all_but_last, drawn_weight);
+            ranking.rotate_first(spread_count, start);
         }
         spread_count
     }
 
-    /// Returns how many of the first endpoints of a ranking have at most `weight` in total.
-    fn count_within_weight(&self, ranking: &[EndpointIndex], weight: f64) -> usize {
+    /// Returns how many of the first endpoints have at most `weight` in total.
+    fn count_within_weight(&self, endpoints: impl Iterator<Item = EndpointIndex>, weight: f64) -> usize {
         let mut remaining = weight;
-        let fits = |&&endpoint: &&EndpointIndex| {
+        let fits = |&endpoint: &EndpointIndex| {
             remaining -= self.weight(endpoint);
             remaining >= 0.0
         };
-        ranking.iter().take_while(fits).count()
+        endpoints.take_while(fits).count()
     }
 
     fn assess(
--- a/crates/larklink-balancer/tests/decision_trace.rs
+++ b/crates/larklink-balancer/tests/decision_trace.rs
@@ -20,7 +20,6 @@
 
 const SECOND: TickDuration = TickDuration::from_secs(1);
 const EVENTS: usize = 6_000;
-const ENDPOINTS: usize = 14;
 
 /// How an endpoint responds to sessions and health checks.
 #[derive(Clone, Copy, PartialEq)]
@@ -40,6 +39,18 @@
     Everything,
     /// Large groups, frequent restarts of endpoints, and times at the edges of windows.
     SlowStart,
+    /// The same with more endpoints than the bucket table caches of a ranking. All of them restart at once, so
+    /// that sessions pass most of them.
+    LargeFleet,
+}
+
+impl Stress {
+    fn endpoints(self) -> usize {
+        match self {
+            Self::Everything | Self::SlowStart => 14,
+            Self::LargeFleet => 400,
+        }
+    }
 }
 
 struct OpenSession {
@@ -143,7 +154,7 @@
 impl Trace {
     fn new(stress: Stress, variant: u64) -> Self {
         let mut settings = settings(variant);
-        if stress == Stress::SlowStart {
+        if stress != Stress::Everything {
             settings.proxy_count = [6, 40, 300][(variant % 3) as usize];
             settings.retry_budget = Some(if variant.is_multiple_of(2) {
                 RetryBudgetSettings { min_retries: 1.0, retry_ratio: 0.02, window: ticks(2_000) }
@@ -158,11 +169,11 @@
             stress,
             now: Timestamp::ZERO,
             open: Vec::new(),
-            health: vec![Health::Good; ENDPOINTS],
+            health: vec![Health::Good; stress.endpoints()],
             hash: Xxh3::with_seed(0),
             output_counts: [0; OUTPUT_KINDS],
         };
-        trace.list(ListScope::Cached, ENDPOINTS - 2);
+        trace.list(ListScope::Cached, stress.endpoints() - 2);
         trace
     }
 
@@ -251,7 +262,7 @@
     }
 
     fn session(&mut self) -> SessionRequest {
-        if self.stress == Stress::SlowStart {
+        if self.stress != Stress::Everything {
             return self.grouped_session();
         }
         let key = self.rng.random_range(1..60u64);
@@ -356,7 +367,7 @@
     }
 
     fn health_check_ends(&mut self) {
-        let endpoint = self.rng.random_range(0..ENDPOINTS);
+        let endpoint = self.rng.random_range(0..self.stress.endpoints());
         let (outcome, took) = match self.health[endpoint] {
             Health::Good => (AttemptOutcome::Succeeded, ticks(self.rng.random_range(0..200))),
             Health::Slow => (AttemptOutcome::Succeeded, ticks(self.rng.random_range(0..900))),
@@ -372,10 +383,10 @@
     }
 
     fn list_changes(&mut self) {
-        let endpoint = self.rng.random_range(0..ENDPOINTS);
+        let endpoint = self.rng.random_range(0..self.stress.endpoints());
         match self.rng.random_range(0..12) {
-            0 => self.list(ListScope::Complete, ENDPOINTS),
-            1 => self.list(ListScope::Complete, ENDPOINTS - 3),
+            0 => self.list(ListScope::Complete, self.stress.endpoints()),
+            1 => self.list(ListScope::Complete, self.stress.endpoints() - 3),
             2 => self.balancer.discovery_failed(self.now),
             n => {
                 let states = [
@@ -404,11 +415,11 @@
             0 => self.health.fill(if bad == Health::Failing { Health::Failing } else { Health::Hung }),
             1..5 => self.health.fill(Health::Good),
             5..8 => {
-                let endpoint = self.rng.random_range(0..ENDPOINTS);
+                let endpoint = self.rng.random_range(0..self.stress.endpoints());
                 self.health[endpoint] = Health::Good;
             }
             _ => {
-                let endpoint = self.rng.random_range(0..ENDPOINTS);
+                let endpoint = self.rng.random_range(0..self.stress.endpoints());
                 self.health[endpoint] = bad;
             }
         }
@@ -418,7 +429,7 @@
     fn restart(&mut self) {
         let seed = self.rng.random();
         self.balancer = Balancer::new(self.settings.clone(), seed, self.now);
-        self.list(ListScope::Cached, ENDPOINTS - 1);
+        self.list(ListScope::Cached, self.stress.endpoints() - 1);
         self.balancer.take_over_from_predecessor(self.now);
         let established: Vec<_> = self.open.drain(..).filter(|o| o.established).collect();
         for open in established.into_iter().take(40) {
@@ -444,10 +455,12 @@
         [ticks(1), ticks(1_999), ticks(2_000), ticks(2_001), SECOND][self.rng.random_range(0..5)]
     }
 
-    /// A new process of the proxy starts when half of the endpoints have just started.
+    /// A new process of the proxy starts when half of the endpoints, or all of a large fleet, have just started.
     fn restart_with_endpoints(&mut self) {
         self.restart();
-        let started: Vec<_> = (0..ENDPOINTS / 2).map(|s| entry(s, EndpointState::Ready, self.now)).collect();
+        let endpoints = self.stress.endpoints();
+        let count = if self.stress == Stress::LargeFleet { endpoints } else { endpoints / 2 };
+        let started: Vec<_> = (0..count).map(|s| entry(s, EndpointState::Ready, self.now)).collect();
         self.balancer.update_endpoints(self.now, ListScope::Changes, &started);
     }
 
@@ -460,7 +473,7 @@
             760..800 => self.observe(),
             800..840 => self.health_check_ends(),
             840..855 => {
-                let endpoint = self.rng.random_range(0..ENDPOINTS);
+                let endpoint = self.rng.random_range(0..self.stress.endpoints());
                 let restarted = entry(endpoint, EndpointState::Ready, self.now);
                 self.balancer.update_endpoints(self.now, ListScope::Changes, &[restarted]);
             }
@@ -501,7 +514,7 @@
         for n in 0..EVENTS {
             match stress {
                 Stress::Everything => trace.step(n),
-                Stress::SlowStart => trace.slow_start_step(n),
+                Stress::SlowStart | Stress::LargeFleet => trace.slow_start_step(n),
             }
         }
         (trace.hash.digest(), trace.output_counts)
@@ -544,6 +557,13 @@
     0x9fb8_33c1_04b8_cc54, 0x9f24_154c_9f02_0302, 0x4393_e702_cd5c_14af, 0x3640_1f83_45fa_660c,
 ];
 
+#[rustfmt::skip]
+const LARGE_FLEET_HASHES: [u64; 12] = [
+    0xc0aa_5d03_4998_200c, 0xb616_de85_e29f_3c28, 0x869a_7cc7_62df_69fe, 0x9bca_075d_dd7d_d9cb,
+    0xdc68_e0db_5d06_fedc, 0xb538_7072_292a_a575, 0xee31_a1d5_677b_e0b0, 0x8cab_7b6b_0884_4154,
+    0x10ee_ba59_d51a_4b85, 0xbdb7_48e5_9f01_800a, 0xa300_d86b_fd14_1228, 0xe896_96c0_0f35_3345,
+];
+
 /// Runs all seeds and returns their hashes and the number of outputs of each kind.
 fn run_all(stress: Stress, seeds: usize) -> (Vec<u64>, [usize; OUTPUT_KINDS]) {
     let runs: Vec<_> = (0..seeds as u64).map(|variant| Trace::run(stress, variant)).collect();
@@ -572,3 +592,14 @@
     );
     assert_eq!(hashes, SLOW_START_HASHES, "{output_counts:?} {hashes:#x?}");
 }
+
+#[test]
+fn decisions_in_a_large_fleet_match_the_recorded_hashes() {
+    let (hashes, output_counts) = run_all(Stress::LargeFleet, LARGE_FLEET_HASHES.len());
+    let expected = [Output::Connect, Output::Reject, Output::CheckHealth].map(|kind| kind as usize);
+    assert!(
+        expected.iter().all(|&kind| output_counts[kind] >= 50),
+        "a kind of output is too rare: {output_counts:?}"
+    );
+    assert_eq!(hashes, LARGE_FLEET_HASHES, "{output_counts:?} {hashes:#x?}");
+}
