An id in use by two sessions of a client stays in use until both have ended

What callers saw: a client with an established session came by a new route (mid=1) while its old connection was still open. When one of the two ended, another client could open a session with the id, which is in use.

Cause: SessionRegistry kept one entry for an id, whose first end removed it.

--- a/crates/larklink-proxy/tests/first_lines.rs
+++ b/crates/larklink-proxy/tests/first_lines.rs
@@ -4,7 +4,7 @@
 
 mod harness;
 use harness::peer::{Peer, open_line};
-use harness::{establish, establish_with, listen, refusing_address, start, start_with_servers};
+use harness::{establish, establish_with, listen, refusing_address, start, start_with_servers, wait_until};
 
 #[test]
 fn a_client_that_disconnects_while_it_waits_is_detected() {
@@ -56,6 +56,25 @@
     assert_eq!(server.receive_line(), "still here\r\n");
 }
 
+/// Guards against an id that is free while it is in use: of two sessions of a client with one id, on an old and a new
+/// route, the first to end freed it.
+#[test]
+fn an_id_stays_in_use_until_both_sessions_of_its_client_have_ended() {
+    let (listener, at) = listen();
+    let proxy = start_with_servers(&[at]);
+    let head = open_line("c=chat,d=2000");
+    let (mut client, mut server) = establish_with(&head, proxy.address, &listener);
+    let again = head.replace("\r\n", ",mid=1\r\n");
+    let (second, mut second_server) = establish_with(&again, proxy.address, &listener);
+    drop(second);
+    second_server.expect_end();
+    wait_until(|| proxy.metrics.text().contains("app.in_progress=1\n"));
+    let mut other = Peer::connect(proxy.address, &head.replace(" 2 c=", " 3 c="));
+    assert_eq!(other.receive_line(), "ERR\r\n");
+    client.send("still here\r\n");
+    assert_eq!(server.receive_line(), "still here\r\n");
+}
+
 #[test]
 fn a_client_that_sends_before_its_answer_is_failed() {
     let (listener, at) = listen();
