During a replacement both processes refuse the id of a session open in either

Cause: the ids of open sessions were known only to the process that had them. The new process served with an empty set; the old one, which still reads first lines of connections that it had accepted before, knew none of the new one's.

Change: SessionRegistry, now a module under sessions and handover, keeps what the predecessor and the successor report. The old process sends its ids before it grants the takeover; from then on both send what they open, at once, and close, every 50 ms. A handed-over session is registered before any later message is read. The message goes only to a process that announced it, so older programs still hand over. Reports are due by the clock, not 50 ms after the last message. Of two new processes that ask at the same moment, one is granted the takeover.

Why it works: the grant comes after the ids on the same socket, and the new process accepts no connection before the grant.

Tests, failing before with UP in place of ERR: an_id_in_use_in_either_process_is_refused_by_both_during_a_replacement, an_id_in_use_is_refused_by_a_process_that_replaces_the_successor. processes_that_do_not_exchange_session_ids_are_sent_none holds the exchange with older programs.

--- a/crates/larklink-proxy/src/handover/messages.rs
+++ b/crates/larklink-proxy/src/handover/messages.rs
@@ -21,6 +21,9 @@
         /// The predecessor's endpoint list.
         #[serde(rename = "list")]
         endpoints: Vec<Endpoint>,
+        /// Whether the predecessor exchanges [`HandoverMessage::SessionIds`]. An older one does not know them.
+        #[serde(rename = "ids", default, skip_serializing_if = "std::ops::Not::not")]
+        exchanges_session_ids: bool,
     },
     /// The successor is ready to accept connections.
     #[serde(rename = "take")]
@@ -42,6 +45,11 @@
         #[serde(rename = "held")]
         descriptors_in_use: usize,
     },
+    /// Changes of the ids in use in the sender's open sessions. The successor sends them, if its predecessor exchanges
+    /// them, from before its takeover request on; the predecessor answers with all of its own before it grants the
+    /// takeover.
+    #[serde(rename = "ids")]
+    SessionIds(SessionIdChanges),
     /// The predecessor was asked to stop.
     #[serde(rename = "stops")]
     Stopping,
@@ -49,6 +57,27 @@
     Session(EstablishedSession),
 }
 
+/// The id of an open session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenId {
+    /// The session id, chosen by the client.
+    pub id: u64,
+    /// The key of the client, 0 if unknown.
+    #[serde(rename = "key")]
+    pub client_key: u64,
+}
+
+/// Sessions that were opened, and then sessions that were closed. An id that two sessions use is opened and closed twice.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionIdChanges {
+    /// The opened sessions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub opened: Vec<OpenId>,
+    /// The ids of the closed sessions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub closed: Vec<u64>,
+}
+
 /// What a process needs to continue an established session.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EstablishedSession {
--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -4,6 +4,9 @@
 //! hands over its established sessions, each with the connections to its client and its endpoint, which stay open
 //! throughout.
 //!
+//! From the takeover on, both processes tell each other the ids of the sessions that they open and close, as clients must
+//! not use an id that is in use in either of them.
+//!
 //! If the successor exits before its predecessor is asked to stop, the predecessor accepts connections again. If the
 //! predecessor exits, the new process takes over without a grant.
 //!
@@ -25,9 +28,10 @@
 use crate::config::Config;
 use crate::events::{DecisionEvent, DecisionQueue};
 use crate::limiter::ConnectionLimiter;
+use crate::session_registry::SessionRegistry;
 
-/// How often the old process checks whether its number of open descriptors has changed, and how often a new process
-/// tries to connect to a competing one.
+/// How often the old process checks whether its number of open descriptors has changed, how often each process reports
+/// closed sessions to the other, and how often a new process tries to connect to a competing one.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The path of the Unix socket for the handover, in the given folder. `None` without a folder, or if the admin endpoint
@@ -44,6 +48,8 @@
     pub(crate) socket_path: PathBuf,
     /// Counts the file descriptors of this process, and those that the other process reports.
     pub(crate) limiter: Rc<ConnectionLimiter>,
+    /// The ids of the open sessions of both processes.
+    pub(crate) sessions: Rc<SessionRegistry>,
     /// The event queue of the decision task.
     pub(crate) queue: DecisionQueue,
     /// Sends each change of whether this process accepts connections.
--- a/crates/larklink-proxy/src/handover/successor.rs
+++ b/crates/larklink-proxy/src/handover/successor.rs
@@ -6,6 +6,7 @@
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -13,9 +14,10 @@
 use futures_lite::{FutureExt, future};
 
 use super::channel::{MessageReader, MessageWriter, message_channel};
-use super::messages::{EstablishedSession, HandoverMessage, ProtocolError, VERSION};
+use super::messages::{EstablishedSession, HandoverMessage, ProtocolError, SessionIdChanges, VERSION};
 use super::{HandoverContext, POLL_INTERVAL};
 use crate::events::DecisionEvent;
+use crate::session_registry::ProcessLink;
 
 /// The process that has taken over from this one, if there is one.
 #[derive(Default)]
@@ -153,6 +155,7 @@
 enum Event {
     Received(HandoverMessage),
     ReportDue,
+    SessionOpened,
     ShuttingDown,
 }
 
@@ -161,8 +164,14 @@
     server: &'a HandoverServer,
     reader: MessageReader,
     writer: &'a Rc<MessageWriter>,
+    /// Whether the new process exchanges session ids; an older one does not.
+    exchanges_session_ids: bool,
+    /// The exchange of session ids, from the takeover on.
+    session_ids: Option<ProcessLink>,
     /// Whether the new process was granted the takeover.
     granted: bool,
+    /// When the numbers of open descriptors and the closed sessions are reported next.
+    next_report_at: Instant,
     /// Whether the new process was notified that this one stops.
     shutdown_announced: bool,
     /// The number of descriptors last reported to the new process as in use or reserved.
@@ -171,7 +180,17 @@
 
 impl<'a> NewProcess<'a> {
     fn new(server: &'a HandoverServer, reader: MessageReader, writer: &'a Rc<MessageWriter>) -> Self {
-        Self { server, reader, writer, granted: false, shutdown_announced: false, reported_descriptors: 0 }
+        Self {
+            server,
+            reader,
+            writer,
+            exchanges_session_ids: false,
+            session_ids: None,
+            granted: false,
+            next_report_at: Instant::now(),
+            shutdown_announced: false,
+            reported_descriptors: 0,
+        }
     }
 
     /// Serves the new process until it exits, its takeover is denied, or it sends an unexpected message.
@@ -179,16 +198,23 @@
         self.send_offer().await?;
         loop {
             match self.next_event().await? {
-                Event::Received(HandoverMessage::TakeOver) if self.server.successor.is_present() => {
-                    return self.writer.send(&HandoverMessage::AlreadyTaken, &[]).await;
+                Event::Received(HandoverMessage::TakeOver) => {
+                    if !self.grant().await? {
+                        return self.writer.send(&HandoverMessage::AlreadyTaken, &[]).await;
+                    }
                 }
-                Event::Received(HandoverMessage::TakeOver) => self.grant().await?,
+                Event::Received(HandoverMessage::SessionIds(changes)) => self.apply_session_ids(changes),
                 Event::Received(other) => return Err(ProtocolError::Unexpected(other).into()),
                 Event::ShuttingDown => {
                     self.shutdown_announced = true;
                     self.writer.send(&HandoverMessage::Stopping, &[]).await?;
                 }
-                Event::ReportDue => self.report_descriptors().await?,
+                Event::SessionOpened => self.report_session_ids().await?,
+                Event::ReportDue => {
+                    self.next_report_at = Instant::now() + POLL_INTERVAL;
+                    self.report_descriptors().await?;
+                    self.report_session_ids().await?;
+                }
             }
         }
     }
@@ -200,12 +226,19 @@
         let listener = self.server.listener.borrow().as_ref().map(TcpListener::try_clone).transpose()?;
         let listener =
             listener.ok_or_else(|| std::io::Error::other("this process accepts no more connections"))?;
-        let offer = HandoverMessage::Offer { version: VERSION, endpoints };
+        let offer = HandoverMessage::Offer { version: VERSION, endpoints, exchanges_session_ids: true };
         self.writer.send(&offer, &[listener.as_fd()]).await
     }
 
     async fn next_event(&mut self) -> Result<Event> {
         let received = async { self.reader.receive().await.map(Event::Received) };
+        let session_opened = async {
+            match &self.session_ids {
+                Some(link) => link.opened().await,
+                None => future::pending().await,
+            }
+            Ok(Event::SessionOpened)
+        };
         let shutting_down = async {
             if self.shutdown_announced {
                 return future::pending().await;
@@ -214,20 +247,52 @@
             Ok(Event::ShuttingDown)
         };
         let report_due = async {
-            Timer::after(POLL_INTERVAL).await;
+            Timer::at(self.next_report_at).await;
             Ok(Event::ReportDue)
         };
-        received.or(shutting_down).or(report_due).await
+        // In this order: a successor that sends without pause must not hold the reports up.
+        report_due.or(shutting_down).or(session_opened).or(received).await
     }
 
-    async fn grant(&mut self) -> Result<()> {
+    /// Grants the takeover, unless another process has taken over. Returns whether it was granted.
+    async fn grant(&mut self) -> Result<bool> {
+        let HandoverServer { context, successor, .. } = self.server;
+        if successor.is_present() {
+            return Ok(false);
+        }
+        // Before this process stops accepting connections: if the new one is lost here, nothing has changed.
+        if self.exchanges_session_ids {
+            self.session_ids = Some(context.sessions.link());
+            self.report_session_ids().await?;
+        }
+        context.set_accepting(false).await;
+        // Another process may have taken over meanwhile.
+        if successor.is_present() {
+            return Ok(false);
+        }
         tracing::info!("takeover granted to a new process");
-        self.server.context.set_accepting(false).await;
         self.granted = true;
-        self.reported_descriptors = self.server.context.limiter.in_use();
-        self.server.successor.set(self.writer);
+        self.reported_descriptors = context.limiter.in_use();
+        successor.set(self.writer);
         let granted = HandoverMessage::Granted { descriptors_in_use: self.reported_descriptors };
-        self.writer.send(&granted, &[]).await
+        self.writer.send(&granted, &[]).await?;
+        Ok(true)
+    }
+
+    /// Applies the changes that the new process reports; its first message shows that it exchanges them.
+    fn apply_session_ids(&mut self, changes: SessionIdChanges) {
+        self.exchanges_session_ids = true;
+        if let Some(link) = &self.session_ids {
+            link.apply(changes);
+        }
+    }
+
+    async fn report_session_ids(&self) -> Result<()> {
+        let Some(link) = &self.session_ids else { return Ok(()) };
+        while let Some(changes) = link.take_unsent() {
+            self.writer.send(&HandoverMessage::SessionIds(changes), &[]).await?;
+        }
+        Ok(())
     }
 
     async fn report_descriptors(&mut self) -> Result<()> {
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -29,7 +29,6 @@
 use crate::metrics::Metrics;
 use crate::session::context::SessionContext;
 use crate::session::handler;
-use crate::session::registry::SessionRegistry;
 use crate::session::shutdown::Shutdown;
 use crate::upstream::health_check::HealthChecker;
 
@@ -98,7 +97,13 @@
     let (accepting_sender, accepting_changes) = async_channel::bounded(1);
     let (handed_over, handed_over_sessions) = async_channel::bounded(1);
     let handover = socket_path.map(|socket_path| {
-        let handover_context = Rc::new(HandoverContext { socket_path, limiter, queue, accepting_sender });
+        let handover_context = Rc::new(HandoverContext {
+            socket_path,
+            limiter,
+            sessions: Rc::clone(&context.sessions),
+            queue,
+            accepting_sender,
+        });
         let successor = Rc::clone(&context.successor);
         let server =
             HandoverServer::new(Rc::clone(&handover_context), shared_listener, successor, shutdown.clone());
@@ -218,7 +223,7 @@
         shutdown,
         accepting_stopped,
         limiter: Rc::clone(limiter),
-        sessions: SessionRegistry::default(),
+        sessions: Rc::default(),
         successor: Rc::default(),
     })
 }
@@ -252,9 +257,9 @@
     match predecessor {
         Some(predecessor) => {
             let predecessor = predecessor.take_over(&context, list_ready).await;
-            let limiter = Rc::clone(&context.limiter);
+            let context = Rc::clone(&context);
             // The task ends when the predecessor exits.
-            executor.spawn(async move { predecessor.follow(&limiter, &handed_over).await }).detach();
+            executor.spawn(async move { predecessor.follow(&context, &handed_over).await }).detach();
         }
         None => list_ready.await,
     }
--- a/crates/larklink-proxy/src/session/context.rs
+++ b/crates/larklink-proxy/src/session/context.rs
@@ -8,12 +8,12 @@
 use async_channel::Receiver;
 use rand_chacha::ChaCha8Rng;
 
-use super::registry::SessionRegistry;
 use super::shutdown::Shutdown;
 use crate::events::DecisionQueue;
 use crate::handover::successor::Successor;
 use crate::limiter::ConnectionLimiter;
 use crate::metrics::Metrics;
+use crate::session_registry::SessionRegistry;
 
 /// State shared by the tasks of all sessions.
 pub(crate) struct SessionContext {
@@ -37,7 +37,7 @@
     /// Counts the file descriptors in use.
     pub(crate) limiter: Rc<ConnectionLimiter>,
     /// The open sessions.
-    pub(crate) sessions: SessionRegistry,
+    pub(crate) sessions: Rc<SessionRegistry>,
     /// The process that has taken over from this one, if any.
     pub(crate) successor: Rc<Successor>,
 }
--- a/crates/larklink-proxy/src/session/handler.rs
+++ b/crates/larklink-proxy/src/session/handler.rs
@@ -24,6 +24,7 @@
 use crate::log::EndReason;
 use crate::metrics::FinalAnswer;
 use crate::protocol::{LineBuffer, OpenLine, OpenLineError, parse_open_line};
+use crate::session_registry::OpenSession;
 use crate::timeout::with_timeout;
 
 /// How long a client may take to send its first line, or the next one after a health check. A connection on which no
@@ -74,7 +75,7 @@
 /// Runs an established session that the predecessor handed over, and logs its end.
 pub(crate) async fn resume(context: Rc<SessionContext>, handed_over: HandedOverSession) {
     let started = Instant::now();
-    let HandedOverSession { session, client, server } = handed_over;
+    let HandedOverSession { session, open_session, client, server } = handed_over;
     let client = restore_connection(client, &session.to_server);
     let server = restore_connection(server, &session.to_client);
     let (Some(connection), Some(server)) = (client, server) else {
@@ -82,7 +83,7 @@
         return;
     };
     let mut client = Client { connection, permit: context.limiter.adopt(), received_at: started };
-    resume_session(&context, &session, &mut client, server).await.log(started);
+    resume_session(&context, &session, open_session, &mut client, server).await.log(started);
 }
 
 /// Rejects a connection for which no descriptor is available. Its session has not run anywhere, so a retry is safe.
@@ -232,6 +233,7 @@
 async fn resume_session(
     context: &SessionContext,
     handed_over: &EstablishedSession,
+    open_session: Option<OpenSession>,
     client: &mut Client,
     server: Connection,
 ) -> ConnectionEnd {
@@ -240,11 +242,10 @@
         let listener = find_listener(context, &open_line)?;
         Some((open_line, listener))
     });
-    let Some((open_line, listener)) = parsed else {
+    let (Some((open_line, listener)), Some(open_session)) = (parsed, open_session) else {
         tracing::warn!("handed-over session has no valid first line");
         return ConnectionEnd::without_session(EndReason::ProtocolError);
     };
-    let open_session = context.sessions.open(&open_line);
     let _in_progress = context.metrics.session_started();
     let request = Request { session: open_session.number, line, open_line, listener };
     let (session, endpoint) = (request.session, handed_over.endpoint);
--- a/crates/larklink-proxy/src/session/mod.rs
+++ b/crates/larklink-proxy/src/session/mod.rs
@@ -6,15 +6,14 @@
 //!    before.
 //! 3. `relay` forwards lines in both directions until the session ends, is migrated or is handed over.
 //!
-//! Shared by them: [`context`], which holds `registry` (the open sessions) and [`shutdown`] (the shutdown deadlines),
-//! and `client` (answers to clients and closing of connections).
+//! Shared by them: [`context`], which holds the session registry and [`shutdown`] (the shutdown deadlines), and `client`
+//! (answers to clients and closing of connections).
 mod client;
 mod client_watch;
 mod connect;
 pub(crate) mod context;
 pub(crate) mod handler;
 mod reconnect;
-pub(crate) mod registry;
 mod relay;
 mod request;
 mod send_permit;
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -107,8 +107,12 @@
     }
 
     fn start(&self) -> Process {
+        self.start_with_log_level("info")
+    }
+
+    fn start_with_log_level(&self, level: &str) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_larklink"));
-        command.arg(self.folder.join("config.json"));
+        command.arg(self.folder.join("config.json")).env("LARKLINK_LOG", level);
         command.env("TMPDIR", &self.folder).env("ROUTER_CONSOLE", "127.0.0.1:0").stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let (log_sender, log) = channel();
@@ -198,6 +202,11 @@
     at
 }
 
+/// An offer of a process that does not exchange session ids.
+fn offer(endpoints: Vec<Endpoint>) -> HandoverMessage {
+    HandoverMessage::Offer { version: VERSION, endpoints, exchanges_session_ids: false }
+}
+
 fn establish(proxy: &Proxy) -> Peer {
     let mut client = Peer::new(TcpStream::connect(proxy.listen).unwrap());
     client.send(&open_line("c=chat,t=acme,d=5000,g=3"));
@@ -384,7 +393,7 @@
         for stream in socket.incoming() {
             let (mut reader, writer) = message_channel(async_io::Async::new(stream.unwrap()).unwrap());
             async_io::block_on(async {
-                let offer = HandoverMessage::Offer { version: VERSION, endpoints: Vec::new() };
+                let offer = offer(Vec::new());
                 let _ = writer.send(&offer, &[listener.as_fd()]).await;
                 if reader.receive().await.is_ok() {
                     let _ = writer.send(&HandoverMessage::AlreadyTaken, &[]).await;
@@ -397,8 +406,8 @@
     expect_echo(&mut establish(&proxy));
 }
 
-/// A process that connects to the handover socket and sends nothing or invalid messages, whether it disconnects or
-/// stays, changes nothing.
+/// A process that connects to the handover socket and sends nothing or invalid messages, or disconnects as it takes over,
+/// changes nothing.
 #[test]
 fn a_process_keeps_serving_if_a_new_process_sends_invalid_messages() {
     let server = echo_server();
@@ -406,8 +415,13 @@
     let process = proxy.start().wait_until_ready();
     let connect = || UnixStream::connect(proxy.socket_path()).unwrap();
     let _silent = connect();
-    for message in ["nonsense\n", "{\"session\":{}}\n", "\"stops\"\n"] {
-        connect().write_all(message.as_bytes()).unwrap();
+    let _client = establish(&proxy);
+    let take_over = "{\"ids\":{}}\n\"take\"\n";
+    for message in ["nonsense\n", "{\"session\":{}}\n", "\"stops\"\n", take_over] {
+        let mut new_process = BufReader::new(connect());
+        new_process.read_line(&mut String::new()).unwrap();
+        new_process.get_mut().write_all(message.as_bytes()).unwrap();
+        drop(new_process);
         process.wait_for_log("new process lost");
         expect_echo(&mut establish(&proxy));
     }
@@ -443,13 +457,139 @@
     let (one, other) = UnixStream::pair().unwrap();
     let (_, writer) = message_channel(async_io::Async::new(one).unwrap());
     let (mut reader, _) = message_channel(async_io::Async::new(other).unwrap());
-    let offer = HandoverMessage::Offer { version: VERSION, endpoints: list };
+    let offer = offer(list);
     let sent = writer.send(&offer, &[]);
     let (sent, received) = async_io::block_on(futures_lite::future::zip(sent, reader.receive()));
     sent.unwrap();
     assert_eq!(received.unwrap(), offer);
 }
 
+/// Opens a session with an id on a connection. Returns the answer.
+fn answer_to_id(client: &mut Peer, id: u64, client_key: u64) -> String {
+    client.send(&format!("OPEN {id:x} {client_key:x} c=chat,t=acme,d=5000,g=3\r\n"));
+    client.receive_line()
+}
+
+fn connect(proxy: &Proxy) -> Peer {
+    Peer::new(TcpStream::connect(proxy.listen).unwrap())
+}
+
+/// Establishes a session with an id, of a client whose key is the id.
+fn establish_id(client: &mut Peer, id: u64) {
+    assert_eq!(answer_to_id(client, id, id), "UP 1\r\n");
+    assert_eq!(client.receive_line(), "LOAD 40\r\n");
+}
+
+/// Another client sends the id on a connection that is open or new.
+fn expect_id_refused(client: &mut Peer, id: u64) {
+    assert_eq!(answer_to_id(client, id, 0xbad), "ERR\r\n", "the id {id:x} of an open session was accepted");
+}
+
+/// Waits until the id is no longer in use, after the end of its session.
+fn wait_until_id_is_free(proxy: &Proxy, id: u64) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while answer_to_id(&mut connect(proxy), id, 0xbad) != "UP 1\r\n" {
+        assert!(Instant::now() < until, "the id {id:x} is never free again");
+    }
+}
+
+/// Guards against a session that is served under the id of another client's open session: during a replacement each
+/// process knew only its own ids. One of the two clients is then cut off from its session.
+#[test]
+fn an_id_in_use_in_either_process_is_refused_by_both_during_a_replacement() {
+    let server = echo_server();
+    let proxy = Proxy::new("ids", "pass", server, discovery_service(server));
+    let old = proxy.start_with_log_level("debug").wait_until_ready();
+    let mut before = connect(&proxy);
+    establish_id(&mut before, 0x9001);
+    expect_id_refused(&mut connect(&proxy), 0x9001);
+    // Connections that the old process has accepted, and that send their first line after the takeover.
+    let mut late: Vec<_> = (0..2).map(|_| connect(&proxy)).collect();
+    let new = proxy.start_with_log_level("debug");
+    while !new.is_ready() {
+        for client in &mut late {
+            client.send("PING\r\n");
+            assert_eq!(client.receive_line(), "PONG\r\n");
+        }
+    }
+    expect_id_refused(&mut connect(&proxy), 0x9001);
+    let mut in_new = connect(&proxy);
+    establish_id(&mut in_new, 0x9002);
+    old.wait_for_log("received opened=1");
+    expect_id_refused(&mut late[0], 0x9002);
+    let in_old = &mut late[1];
+    establish_id(in_old, 0x9003);
+    new.wait_for_log("received opened=1 closed=0");
+    new.wait_for_log("received opened=1 closed=0");
+    expect_id_refused(&mut connect(&proxy), 0x9003);
+    old.signal(Signal::TERM);
+    old.wait_for_exit();
+    for (client, id) in [(&mut before, 0x9001), (&mut in_new, 0x9002), (in_old, 0x9003)] {
+        expect_id_refused(&mut connect(&proxy), id);
+        expect_echo(client);
+        client.send("END\r\n");
+        assert_eq!((client.receive_line(), client.receive_line()), ("BYE\r\n".into(), String::new()));
+        wait_until_id_is_free(&proxy, id);
+    }
+}
+
+/// Three processes at once: the one in the middle passes the ids of the others on, and takes them back when one exits.
+#[test]
+fn an_id_in_use_is_refused_by_a_process_that_replaces_the_successor() {
+    let server = echo_server();
+    let proxy = Proxy::new("three-ids", "proxy", server, discovery_service(server));
+    let mut old = proxy.start().wait_until_ready();
+    let mut client = connect(&proxy);
+    establish_id(&mut client, 0x9001);
+    let _middle = proxy.start().wait_until_ready();
+    let _new = proxy.start().wait_until_ready();
+    expect_id_refused(&mut connect(&proxy), 0x9001);
+    expect_echo(&mut client);
+    old.signal(Signal::KILL);
+    let _ = old.child.wait();
+    wait_until_id_is_free(&proxy, 0x9001);
+}
+
+/// A process of an older version would take a message that it does not know for the end of the other process.
+#[test]
+fn processes_that_do_not_exchange_session_ids_are_sent_none() {
+    let server = echo_server();
+    let proxy = Proxy::new("older", "proxy", server, discovery_service(server));
+    let process = proxy.start().wait_until_ready();
+    let mut client = establish(&proxy);
+    let stream = UnixStream::connect(proxy.socket_path()).unwrap();
+    let (mut reader, writer) = message_channel(async_io::Async::new(stream).unwrap());
+    async_io::block_on(async {
+        assert!(matches!(reader.receive().await.unwrap(), HandoverMessage::Offer { .. }));
+        writer.send(&HandoverMessage::TakeOver, &[]).await.unwrap();
+        assert!(matches!(reader.receive().await.unwrap(), HandoverMessage::Granted { .. }));
+        client.send("END\r\n");
+        // The session's end is reported by the number of descriptors only.
+        assert!(matches!(reader.receive().await.unwrap(), HandoverMessage::DescriptorsInUse { .. }));
+    });
+    drop((reader, writer));
+    process.wait_for_log("successor lost");
+    drop(process);
+
+    let proxy = Proxy::new("older-predecessor", "proxy", server, discovery_service(server));
+    let socket = UnixListener::bind(proxy.socket_path()).unwrap();
+    let listener_of_proxy = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener_of_proxy.set_reuse_port(true).unwrap();
+    listener_of_proxy.bind(&proxy.listen.into()).unwrap();
+    listener_of_proxy.listen(1).unwrap();
+    let predecessor = thread::spawn(move || {
+        let (mut reader, writer) = message_channel(async_io::Async::new(socket.accept().unwrap().0).unwrap());
+        async_io::block_on(async {
+            writer.send(&offer(Vec::new()), &[listener_of_proxy.as_fd()]).await.unwrap();
+            let first = reader.receive().await.unwrap();
+            let _ = writer.send(&HandoverMessage::Granted { descriptors_in_use: 0 }, &[]).await;
+            first
+        })
+    });
+    let _process = proxy.start().wait_until_ready();
+    assert_eq!(predecessor.join().unwrap(), HandoverMessage::TakeOver);
+}
+
 /// Two processes together never have more descriptors open than the limit; what one releases, the other may use.
 #[test]
 fn the_descriptors_of_both_processes_count() {
--- a/crates/larklink-proxy/tests/wire_fixtures.rs
+++ b/crates/larklink-proxy/tests/wire_fixtures.rs
@@ -13,7 +13,9 @@
 use larklink_proxy::config::Config;
 use larklink_proxy::endpoint_list::{Endpoint, EndpointList, endpoint_id};
 use larklink_proxy::handover::channel::message_channel;
-use larklink_proxy::handover::messages::{EstablishedSession, HandoverMessage, VERSION, parse_message};
+use larklink_proxy::handover::messages::{
+    EstablishedSession, HandoverMessage, OpenId, SessionIdChanges, VERSION, parse_message,
+};
 
 const MESSAGES: &str = include_str!("fixtures/handover_messages_v1.jsonl");
 const LIST: &str = include_str!("fixtures/endpoint_list.json");
@@ -69,8 +71,8 @@
 fn messages() -> Vec<HandoverMessage> {
     let open_line = "OPEN ab 12 c=chat,t=\u{e9},d=2000,g=1f\r\n";
     vec![
-        HandoverMessage::Offer { version: 1, endpoints: endpoints() },
-        HandoverMessage::Offer { version: 1, endpoints: Vec::new() },
+        HandoverMessage::Offer { version: 1, endpoints: endpoints(), exchanges_session_ids: false },
+        HandoverMessage::Offer { version: 1, endpoints: Vec::new(), exchanges_session_ids: false },
         HandoverMessage::TakeOver,
         HandoverMessage::Granted { descriptors_in_use: 0 },
         HandoverMessage::Granted { descriptors_in_use: 4096 },
@@ -80,6 +82,12 @@
         session_message(open_line, [b"half a\r\n\0\xff", b"\x80M 1\r\n"], 3, Some(12.5)),
         session_message("", [b"", b""], 0, None),
         session_message("x", [b"", b"\n"], 1, Some(0.0)),
+        HandoverMessage::Offer { version: 1, endpoints: Vec::new(), exchanges_session_ids: true },
+        HandoverMessage::SessionIds(SessionIdChanges::default()),
+        HandoverMessage::SessionIds(SessionIdChanges {
+            opened: vec![OpenId { id: u64::MAX, client_key: 0 }, OpenId { id: 0x9b1f, client_key: u64::MAX }],
+            closed: vec![0, u64::MAX],
+        }),
     ]
 }
 
@@ -125,8 +133,8 @@
         (r#"{"offer":{"list":[]}}"#, "missing field `version` at line 1 column 20"),
         (
             r#""give""#,
-            "unknown variant `give`, expected one of `offer`, `take`, `yours`, `taken`, `held`, `stops`, \
-             `session` at line 1 column 6",
+            "unknown variant `give`, expected one of `offer`, `take`, `yours`, `taken`, `held`, `ids`, \
+             `stops`, `session` at line 1 column 6",
         ),
         (r#""yours""#, "invalid type: unit variant, expected struct variant"),
     ] {
