Polls of a shared list service stay open past their timeout while others are made

Cause: one timeout said both when the next poll is made and when one is given up, 0.5 s after a failure and 2.1 s at most. A poll that is given up loses its turn at the service, so each turn was thrown away, while the other proxies were turned away for it.

Change: where all proxies poll one service, a poll that is not answered in time stays open for 3.5 s beside further ones, six at most; the first answer counts. The longest wait between two polls is there also a part of a sum, 50 ms for each proxy, so that a small fleet takes its turns. An agent on the proxy's machine is polled as before.

Test: a_removal_arrives_in_time_from_a_slow_service_after_an_outage failed before (no change within 10 s of the return) and passes within the 6 s of the rule. The test of the bound for all settings also goes over sizes of fleets.

--- a/crates/larklink-proxy/src/discovery/schedule.rs
+++ b/crates/larklink-proxy/src/discovery/schedule.rs
@@ -46,9 +46,17 @@
 /// as soon as its local agent has a change. The cost is that a local agent that keeps rejecting polls is polled some
 /// ten times a second.
 const BACKOFFS_PER_DRAIN_GRACE: u32 = 4;
+/// Upper bound of the response timeout and of the backoff after a rejection, for each proxy that polls the service. The
+/// service serves one poll of each proxy in turn, and the turn of a proxy that is not there goes unused: a small fleet
+/// must poll often enough to take the turns, and a large one must not make too many polls.
+const POLL_SPACING_PER_PROXY: Duration = Duration::from_millis(50);
 /// Lower bound of the maximum backoff; without it a failing agent would be polled in a tight loop.
 const MAX_BACKOFF_FLOOR: Duration = Duration::from_millis(10);
 
+/// How long a poll may take in all if it is kept open while further ones are made; longer than a service works on a poll
+/// that it has not rejected.
+pub(crate) const POLL_TIMEOUT: Duration = Duration::from_millis(3500);
+
 /// Minimum time between the starts of two polls while polls succeed without a new list.
 pub(crate) const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -64,6 +72,11 @@
     pub max_backoff: Duration,
     /// Upper bound of the backoff after a poll that was rejected or got an invalid response.
     pub max_rejection_backoff: Duration,
+    /// Upper bound of the response timeout, however many polls have timed out.
+    pub max_response_timeout: Duration,
+    /// Whether polls that time out are kept open while further ones are made. A shared service may need longer for a
+    /// response than an agent on the proxy's machine.
+    pub keeps_unanswered_polls: bool,
 }
 
 impl PollSchedule {
@@ -91,7 +104,28 @@
             (max_backoff * 2).clamp(MIN_RESPONSE_TIMEOUT, DEFAULT_RESPONSE_TIMEOUT)
         };
         let max_rejection_backoff = if polled_discovery { long_poll_wait / 2 } else { max_backoff };
-        Self { long_poll_wait, response_timeout, max_backoff, max_rejection_backoff }
+        Self {
+            long_poll_wait,
+            response_timeout,
+            max_backoff,
+            max_rejection_backoff,
+            max_response_timeout: MAX_RESPONSE_TIMEOUT,
+            keeps_unanswered_polls: polled_discovery,
+        }
+    }
+
+    /// Returns the schedule of one of `proxies` proxies that poll one service; 0 if their number is unknown. A small
+    /// fleet polls more often.
+    pub fn with_proxies(self, proxies: u32) -> Self {
+        if !self.keeps_unanswered_polls || proxies == 0 {
+            return self;
+        }
+        let spacing = POLL_SPACING_PER_PROXY * proxies;
+        Self {
+            max_rejection_backoff: spacing.max(self.max_backoff).min(self.max_rejection_backoff),
+            max_response_timeout: spacing.clamp(self.response_timeout, MAX_RESPONSE_TIMEOUT),
+            ..self
+        }
     }
 
     /// Returns how long discovery may hold its response after `failures` consecutive failures. After any failure the
@@ -104,7 +138,7 @@
     pub fn response_timeout_after(&self, timeouts: u32) -> Duration {
         let doublings =
             timeouts.saturating_sub(RESPONSE_TIMEOUTS_BEFORE_DOUBLING).min(MAX_RESPONSE_TIMEOUT_DOUBLINGS);
-        (self.response_timeout * 2_u32.pow(doublings)).min(MAX_RESPONSE_TIMEOUT)
+        (self.response_timeout * 2_u32.pow(doublings)).min(self.max_response_timeout)
     }
 
     /// Returns the timeout of a whole poll after `failures` consecutive failures, of which `timeouts` connected and
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -188,7 +188,8 @@
 ) {
     let settings = &config.settings.balancer;
     let schedule =
-        PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery);
+        PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery)
+            .with_proxies(settings.proxy_count);
     let rng = new_rng(config.seed, DISCOVERY_RNG_STREAM);
     let follow = discovery::follow(config.discovery, addresses, schedule, queue.clone(), rng);
     executor.spawn(follow).detach();
--- a/crates/larklink-proxy/tests/discovery.rs
+++ b/crates/larklink-proxy/tests/discovery.rs
@@ -1,7 +1,10 @@
 //! The time until a change of the endpoint list arrives after failed polls: its bound for all settings, and proxies
 //! whose scripted discovery service fails in every order of failures and then sends a change.
 #![allow(clippy::unwrap_used, reason = "a test stops where its setup fails")]
-use std::net::TcpListener;
+use std::io::{BufRead, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,10 +15,10 @@
 use rand_chacha::ChaCha8Rng;
 
 mod harness;
-use harness::peer::{Peer, open_line};
+use harness::peer::{Peer, WAIT_TIMEOUT, open_line};
 use harness::{
     FullBacklog, Proxy, config, endpoint, establish_with, list, listen, non_empty_first_lines,
-    receive_request, respond, start, start_with_config, wait_for_shared_metrics,
+    receive_request, respond, start, start_with_config, wait_for_shared_metrics, wait_until,
 };
 
 fn ticks(count: u64) -> TickDuration {
@@ -34,8 +37,9 @@
     for (discovery_deadline, grace) in
         durations().flat_map(|deadline| durations().map(move |grace| (deadline, grace)))
     {
-        for polled_discovery in [false, true] {
-            let schedule = PollSchedule::new(ticks(discovery_deadline), ticks(grace), polled_discovery);
+        for (polled_discovery, proxies) in [(false, 0), (true, 0), (true, 1), (true, 3), (true, 400)] {
+            let schedule = PollSchedule::new(ticks(discovery_deadline), ticks(grace), polled_discovery)
+                .with_proxies(proxies);
             let case = format!(
                 "discovery_deadline {discovery_deadline}, drain_grace {grace}, {polled_discovery}: {schedule:?}"
             );
@@ -189,9 +193,108 @@
     );
 }
 
+/// How a discovery service that all proxies poll responds.
+#[derive(Clone, Copy, PartialEq)]
+enum ServiceState {
+    /// It sends the first list at once, and has no changes to it.
+    Prompt,
+    /// It responds to no poll.
+    Silent,
+    /// It has changes, works on one poll at a time and rejects the others.
+    Slow,
+}
+
+/// A discovery service that all proxies poll. A poll that is given up loses its turn.
+struct SharedService {
+    state: Mutex<ServiceState>,
+    /// The polls that arrived in the current state.
+    polls: AtomicUsize,
+    /// Held while the slow service works on a poll.
+    turn: Mutex<()>,
+}
+
+impl SharedService {
+    /// How long the service works on a poll when it is slow; longer than any proxy waits for a response.
+    const POLL_WORK: Duration = Duration::from_millis(2_250);
+
+    fn set_state(&self, state: ServiceState) {
+        *self.state.lock().unwrap() = state;
+        self.polls.store(0, Relaxed);
+    }
+
+    fn wait_for_polls(&self, count: usize) {
+        wait_until(|| self.polls.load(Relaxed) >= count);
+    }
+
+    /// Serves the polls on a connection until it ends or a poll gets no response.
+    fn serve(&self, mut connection: Peer, server: SocketAddr) {
+        let up = |name| endpoint(name, server, "up");
+        while !connection.0.fill_buf().unwrap_or_default().is_empty() {
+            let request = receive_request(&mut connection);
+            self.polls.fetch_add(1, Relaxed);
+            let state = *self.state.lock().unwrap();
+            match state {
+                ServiceState::Prompt if request == "/api/targets" => {
+                    respond(&mut connection, &list(41, true, &[up("s-0"), up("s-1")]));
+                }
+                ServiceState::Prompt | ServiceState::Silent => _ = connection.0.read(&mut [0]),
+                // It has been sent the changes.
+                ServiceState::Slow if request.contains("after=42") => _ = connection.0.read(&mut [0]),
+                ServiceState::Slow => {
+                    let Ok(_turn) = self.turn.try_lock() else {
+                        connection.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                        continue;
+                    };
+                    if self.is_given_up_during_work(&connection) {
+                        return;
+                    }
+                    respond(&mut connection, &list(42, false, &[endpoint("s-0", server, "removed")]));
+                }
+            }
+        }
+    }
+
+    fn is_given_up_during_work(&self, connection: &Peer) -> bool {
+        let stream = connection.0.get_ref();
+        stream.set_read_timeout(Some(Self::POLL_WORK)).unwrap();
+        let is_given_up = matches!(stream.peek(&mut [0]), Ok(0));
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        is_given_up
+    }
+}
+
+/// Guards against a slow service that is never heard again after an outage: each poll was given up after 2.1 s at most.
+#[test]
+fn a_removal_arrives_in_time_from_a_slow_service_after_an_outage() {
+    let ((_listener, server), (agent, discovery)) = (listen(), listen());
+    let service = Arc::new(SharedService {
+        state: Mutex::new(ServiceState::Prompt),
+        polls: AtomicUsize::new(0),
+        turn: Mutex::new(()),
+    });
+    let serving = Arc::clone(&service);
+    thread::spawn(move || {
+        for stream in agent.incoming().map_while(Result::ok) {
+            let service = Arc::clone(&serving);
+            thread::spawn(move || service.serve(Peer::new(stream), server));
+        }
+    });
+    let settings = r#""group_size":2,"discovery":"on_request","safety""#;
+    let config = config(&[], discovery, "proxy", 1024).replace(r#""safety""#, settings);
+    let proxies = [(); 2].map(|()| start_with_config(&config));
+    proxies.iter().for_each(|proxy| wait_for_shared_metrics(proxy, [0, 0, 2]));
+    service.set_state(ServiceState::Silent);
+    // Polls of both proxies have timed out.
+    service.wait_for_polls(8);
+    service.set_state(ServiceState::Slow);
+    let returned = Instant::now();
+    proxies.iter().for_each(|proxy| wait_for_shared_metrics(proxy, [0, 0, 1]));
+    assert!(returned.elapsed() <= NOTIFICATION_DEADLINE, "{:?}", returned.elapsed());
+}
+
 /// Starts a proxy with a list of two endpoints. Returns it with its discovery agent and the connection of its long poll
 /// in flight, which has a wait of half a second.
-fn start_with_two_endpoints(a: std::net::SocketAddr, b: std::net::SocketAddr) -> (Proxy, TcpListener, Peer) {
+fn start_with_two_endpoints(a: SocketAddr, b: SocketAddr) -> (Proxy, TcpListener, Peer) {
     let (agent, discovery) = listen();
     let config = config(&[], discovery, "proxy", 1024);
     let proxy =
