--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -106,6 +106,15 @@
         self.folder.join(format!("larklink-{}", self.listen.to_string().replace(':', "-")))
     }
 
+    /// The listening socket that a predecessor offers.
+    fn predecessor_listener(&self) -> socket2::Socket {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.set_reuse_port(true).unwrap();
+        listener.bind(&self.listen.into()).unwrap();
+        listener.listen(1).unwrap();
+        listener
+    }
+
     fn start(&self) -> Process {
         self.start_with_log_level("info")
     }
@@ -385,10 +394,7 @@
     let server = echo_server();
     let proxy = Proxy::new("rival", "proxy", server, discovery_service(server));
     let socket = UnixListener::bind(proxy.socket_path()).unwrap();
-    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    listener.set_reuse_port(true).unwrap();
-    listener.bind(&proxy.listen.into()).unwrap();
-    listener.listen(1).unwrap();
+    let listener = proxy.predecessor_listener();
     thread::spawn(move || {
         for stream in socket.incoming() {
             let (mut reader, writer) = message_channel(async_io::Async::new(stream.unwrap()).unwrap());
@@ -552,7 +558,7 @@
 
 /// A process of an older version would take a message that it does not know for the end of the other process.
 #[test]
-fn processes_that_do_not_exchange_session_ids_are_sent_none() {
+fn session_ids_are_not_sent_to_older_processes() {
     let server = echo_server();
     let proxy = Proxy::new("older", "proxy", server, discovery_service(server));
     let process = proxy.start().wait_until_ready();
@@ -573,14 +579,11 @@
 
     let proxy = Proxy::new("older-predecessor", "proxy", server, discovery_service(server));
     let socket = UnixListener::bind(proxy.socket_path()).unwrap();
-    let listener_of_proxy = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    listener_of_proxy.set_reuse_port(true).unwrap();
-    listener_of_proxy.bind(&proxy.listen.into()).unwrap();
-    listener_of_proxy.listen(1).unwrap();
+    let listener = proxy.predecessor_listener();
     let predecessor = thread::spawn(move || {
         let (mut reader, writer) = message_channel(async_io::Async::new(socket.accept().unwrap().0).unwrap());
         async_io::block_on(async {
-            writer.send(&offer(Vec::new()), &[listener_of_proxy.as_fd()]).await.unwrap();
+            writer.send(&offer(Vec::new()), &[listener.as_fd()]).await.unwrap();
             let first = reader.receive().await.unwrap();
             let _ = writer.send(&HandoverMessage::Granted { descriptors_in_use: 0 }, &[]).await;
             first
