--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -273,6 +273,39 @@
     }
 }
 
+/// Starts many sound servers in few threads.
+pub fn start_many(count: usize, record: &Arc<Record>, arrivals: &Arrivals) -> Vec<Server> {
+    const PER_THREAD: usize = 200;
+    let bind = |number: usize| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+        listener.set_nonblocking(true).unwrap();
+        (format!("s-{:08x}", 0x5be2_a07c_u32.wrapping_mul(2 * number as u32 + 1)), listener)
+    };
+    let listeners: Vec<_> = (0..count).map(bind).collect();
+    let server = |(name, listener): &(String, TcpListener)| Server {
+        name: name.clone(),
+        address: listener.local_addr().unwrap(),
+    };
+    let servers = listeners.iter().map(server).collect();
+    let mut listeners = listeners.into_iter().peekable();
+    while listeners.peek().is_some() {
+        let part: Vec<_> = listeners.by_ref().take(PER_THREAD).collect();
+        let (record, arrivals) = (Arc::clone(record), Arc::clone(arrivals));
+        thread::spawn(move || {
+            loop {
+                for (name, listener) in &part {
+                    let Ok((stream, _)) = listener.accept() else { continue };
+                    let _ = stream.set_nonblocking(false);
+                    let (record, arrivals, name) = (Arc::clone(&record), Arc::clone(&arrivals), name.clone());
+                    thread::spawn(move || serve(&name, stream, &record, &arrivals));
+                }
+                thread::sleep(millis(10));
+            }
+        });
+    }
+    servers
+}
+
 fn serve(name: &str, stream: TcpStream, record: &Record, arrivals: &Arrivals) {
     let mut lines = Lines::new(stream);
     let mut is_open = false;
@@ -323,6 +356,8 @@
     state: Mutex<ListState>,
     changed: Condvar,
     record: Arc<Record>,
+    /// How many spaces each level of the agents' lists is indented by; none for lists without line breaks.
+    indent: Option<usize>,
 }
 
 struct ListState {
@@ -335,6 +370,10 @@
 
 impl Discovery {
     pub fn new(servers: &[Server], record: &Arc<Record>) -> Arc<Self> {
+        Self::with_indent(servers, record, None)
+    }
+
+    pub fn with_indent(servers: &[Server], record: &Arc<Record>, indent: Option<usize>) -> Arc<Self> {
         let entry = |server: &Server| Entry {
             name: server.name.clone(),
             address: server.address,
@@ -344,7 +383,7 @@
         };
         let entries = servers.iter().map(entry).collect();
         let state = ListState { version: 1, entries, down: false, outages: 0 };
-        Arc::new(Self { state: state.into(), changed: Condvar::new(), record: Arc::clone(record) })
+        Arc::new(Self { state: state.into(), changed: Condvar::new(), record: Arc::clone(record), indent })
     }
 
     /// The list as a proxy has it at its start, in the form of `known`.
@@ -440,13 +479,40 @@
             }
             let left = wait_until.saturating_duration_since(Instant::now());
             if after.is_none_or(|after| state.version > after) || left.is_zero() {
-                return Some((state.version, list_json(&state, after)));
+                let list = list_json(&state, after);
+                return Some((
+                    state.version,
+                    self.indent.map_or(list.clone(), |width| indented(&list, width)),
+                ));
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
     }
 }
 
+/// Indents JSON that has no quotes inside its strings.
+fn indented(json: &str, width: usize) -> String {
+    let (mut text, mut depth, mut in_string) = (String::new(), 0, false);
+    let line = |depth: usize| format!("\n{}", " ".repeat(depth * width));
+    for c in json.chars() {
+        in_string ^= c == '"';
+        match c {
+            '{' | '[' if !in_string => {
+                depth += 1;
+                text += &format!("{c}{}", line(depth));
+            }
+            '}' | ']' if !in_string => {
+                depth -= 1;
+                text += &format!("{}{c}", line(depth));
+            }
+            ',' if !in_string => text += &format!(",{}", line(depth)),
+            ':' if !in_string => text += ": ",
+            _ => text.push(c),
+        }
+    }
+    text
+}
+
 fn list_json(state: &ListState, after: Option<u64>) -> String {
     let changed = state.entries.iter().filter(|entry| after.is_none_or(|after| entry.changed > after));
     let entries: Vec<String> = changed.map(Entry::json).collect();
