--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -468,7 +468,7 @@
     }
 
     /// Waits until a call can be answered; none if discovery goes down or is down meanwhile.
-    fn answer(&self, proxy: &str, after: Option<u64>, wait_ms: u64) -> Option<(u64, String)> {
+    pub fn answer(&self, proxy: &str, after: Option<u64>, wait_ms: u64) -> Option<(u64, String)> {
         let wait_until = Instant::now() + millis(wait_ms.min(60_000));
         let mut state = self.state.lock().unwrap();
         let outages = state.outages;
