--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 unsafe extern "C" {
@@ -82,8 +83,14 @@
     (args.next().expect("case folder"), args.next().expect("repository root"))
 }
 
-/// Ends the script because the case could not run.
+/// The processes of the proxy that have been started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the script, and all processes that it started, because the case could not run.
 pub fn cannot_run(reason: &str) -> ! {
+    for &process in RUNNING.lock().unwrap().iter() {
+        unsafe { kill(process as i32, SIGKILL) };
+    }
     eprintln!("the case could not run: {reason}");
     std::process::exit(2);
 }
@@ -139,6 +146,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
+        RUNNING.lock().unwrap().push(child.id());
         Self { child, listen: options.listen, console: options.console }
     }
 
@@ -180,6 +188,7 @@
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        RUNNING.lock().unwrap().retain(|process| *process != self.child.id());
         let _ = self.child.wait();
     }
 }
