Sessions from before the start wait until their endpoint is listed

Cause: reconnect.rs looked the address up once, before its first attempt. No address ended the session, an old one was tried until the 40 s were over. Evidence: the same process answers the same client UP once discovery is back. Change: the address is looked up before each attempt; none counts as an attempt that was not sent.

--- a/crates/larklink-proxy/src/session/reconnect.rs
+++ b/crates/larklink-proxy/src/session/reconnect.rs
@@ -1,12 +1,14 @@
 //! A session that was established before this process started. Attempts are made only at the endpoint that its first
 //! line names, without a balancing decision.
 use std::io::IoSlice;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use larklink_balancer::SessionRequest;
+use larklink_balancer::{AttemptOutcome, SessionRequest};
+use larklink_engine::engine::{EndpointId, SessionId};
 
 use super::client::{Client, ERR};
 use super::client_watch::{is_waiting, watch_client};
@@ -33,15 +35,14 @@
     session_request: SessionRequest,
     endpoint_name: &str,
 ) -> EndReason {
-    let deadline = Instant::now() + TOTAL_TIMEOUT;
     let (session, endpoint) = (request.session, endpoint_id(endpoint_name));
     let (sender, commands) = async_channel::bounded(COMMAND_CAPACITY);
-    context.queue.send(DecisionEvent::FindEndpoint { session, endpoint, commands: sender }).await;
+    let lookup = EndpointLookup { context, session, endpoint, sender: &sender, commands: &commands };
     let has_descriptor = client.permit.try_acquire_upstream();
     let Connection { stream, buffer } = &mut client.connection;
     let stream = &*stream;
     let is_client_waiting = || is_waiting(stream.get_ref(), true);
-    let connected = connect(context, request.line, &commands, has_descriptor, deadline, is_client_waiting);
+    let connected = connect(&lookup, request.line, has_descriptor, is_client_waiting);
     let client_left = watch_client(stream, buffer, true);
     match connected.or(client_left).or(context.shutdown.answer_deadline_passed()).await {
         Ok(connection) => {
@@ -62,33 +63,59 @@
     }
 }
 
-/// Makes attempts until one is accepted, or may have run the session although it was not accepted.
+/// Asks the decision task for the current address of a session's endpoint.
+struct EndpointLookup<'a> {
+    context: &'a SessionContext,
+    session: SessionId,
+    endpoint: EndpointId,
+    /// The session's command channel, which the decision task keeps from the first request on.
+    sender: &'a Sender<SessionCommand>,
+    commands: &'a Receiver<SessionCommand>,
+}
+
+impl EndpointLookup<'_> {
+    /// Returns the address; `None` if the endpoint has not been listed yet.
+    async fn address(&self) -> Option<SocketAddr> {
+        let &Self { session, endpoint, .. } = self;
+        let find = DecisionEvent::FindEndpoint { session, endpoint, commands: self.sender.clone() };
+        self.context.queue.send(find).await;
+        match self.commands.recv().await {
+            Ok(SessionCommand::Connect { address, .. }) => address,
+            _ => None,
+        }
+    }
+}
+
+/// Makes attempts until one is accepted, or may have run the session although it was not accepted. Looks up the address
+/// before each attempt: the endpoint list in use at the start may lack the endpoint, or have an old address of it.
 async fn connect(
-    context: &SessionContext,
+    lookup: &EndpointLookup<'_>,
     line: &[u8],
-    commands: &Receiver<SessionCommand>,
     has_descriptor: bool,
-    deadline: Instant,
     is_client_waiting: impl Fn() -> bool,
 ) -> Result<Connection, EndReason> {
-    let Ok(SessionCommand::Connect { address: Some(address), .. }) = commands.recv().await else {
-        return Err(EndReason::Failed);
-    };
+    let SessionContext { connect_timeout, metrics, limiter, .. } = lookup.context;
+    let deadline = Instant::now() + TOTAL_TIMEOUT;
     if !has_descriptor {
         return Err(EndReason::NoDescriptors);
     }
-    context.limiter.evictions_done().await;
-    let connect_timeout = context.connect_timeout;
-    let attempt = Attempt { address, deadline, connect_timeout, metrics: &context.metrics };
+    limiter.evictions_done().await;
     loop {
-        let mut slices = [IoSlice::new(line)];
-        match attempt.send(&mut slices, &is_client_waiting, &is_client_waiting).await {
-            Ok(connection) => return Ok(connection),
-            // The session may have run: another attempt could run it twice.
-            Err(outcome) if !outcome.proves_not_run() || Instant::now() >= deadline => {
-                return Err(EndReason::Failed);
+        let outcome = match lookup.address().await {
+            Some(address) => {
+                let attempt = Attempt { address, deadline, connect_timeout: *connect_timeout, metrics };
+                let mut slices = [IoSlice::new(line)];
+                match attempt.send(&mut slices, &is_client_waiting, &is_client_waiting).await {
+                    Ok(connection) => return Ok(connection),
+                    Err(outcome) => outcome,
+                }
             }
-            Err(_) => _ = Timer::after(RETRY_INTERVAL).await,
+            None => AttemptOutcome::NotSent,
+        };
+        // The session may have run: another attempt could run it twice.
+        if !outcome.proves_not_run() || Instant::now() >= deadline {
+            return Err(EndReason::Failed);
         }
+        Timer::after(RETRY_INTERVAL).await;
     }
 }
--- a/crates/larklink-proxy/tests/endpoint_list_updates.rs
+++ b/crates/larklink-proxy/tests/endpoint_list_updates.rs
@@ -6,7 +6,7 @@
 use harness::peer::{Peer, open_line};
 use harness::{
     endpoint, establish, establish_with, list, listen, receive_request, refusing_address, respond, start,
-    wait_for_metrics, wait_until,
+    wait_for_metrics, wait_for_shared_metrics, wait_until,
 };
 
 #[test]
@@ -141,3 +141,27 @@
         }
     }
 }
+
+/// Guards against sessions from before the start being answered `ERR` at once, because the cached list that the process
+/// starts with lacks their endpoint, or has an old address of it, while discovery is down.
+#[test]
+fn a_session_from_before_the_start_waits_until_discovery_lists_its_server() {
+    for has_old_address in [false, true] {
+        let ((listener, at), (agent, discovery)) = (listen(), listen());
+        let cached = if has_old_address { vec![refusing_address()] } else { Vec::new() };
+        let proxy = start(&cached, discovery, "proxy", 1024);
+        // Discovery is down: it accepts the poll and does not answer.
+        let mut poll = Peer::accept(&agent);
+        assert_eq!(receive_request(&mut poll), "/api/targets");
+        let head = open_line("c=pay,d=2000,at=s-0");
+        let mut client = Peer::connect(proxy.address, &head);
+        wait_for_shared_metrics(&proxy, [0, 1, u32::from(has_old_address)]);
+        // Longer than the pause between two lookups.
+        client.expect_silence(Duration::from_millis(300));
+        respond(&mut poll, &list(41, true, &[endpoint("s-0", at, "up")]));
+        let mut server = Peer::accept(&listener);
+        assert_eq!(server.receive_line(), head);
+        server.send("UP 5\r\n");
+        assert_eq!(client.receive_line(), "UP 5\r\n");
+    }
+}
--- a/crates/larklink-proxy/tests/harness/mod.rs
+++ b/crates/larklink-proxy/tests/harness/mod.rs
@@ -126,6 +126,14 @@
         );
     }
 
+    /// Asserts that nothing arrives, and the stream does not end, for this time.
+    pub(crate) fn expect_silence(&mut self, duration: Duration) {
+        self.0.get_ref().set_read_timeout(Some(duration)).unwrap();
+        let received = self.0.read(&mut [0]);
+        assert_eq!(received.map_err(|error| error.kind()), Err(ErrorKind::WouldBlock));
+        self.0.get_ref().set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    }
+
     /// Asserts that the connection is reset.
     pub(crate) fn expect_reset(&mut self) {
         assert_eq!(self.0.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
