Ids of sessions that may have run stay refused after their client has left

Seen: an id whose client had left came again on a new connection and reached servers twice, 20 of 20 in the same process, 20 of 20 at the new process of a replacement (client gone before it, or back after 0.3 s), 20 of 20 the other way round. Cause: the registry knew the ids of open sessions only; an endpoint that has a session's line may run it after its client has left. Change: a session records that it is sent and what its attempts prove. Tests: the_id_of_a_session_that_may_have_run_is_not_accepted_again and an_id_that_may_have_run_is_refused_by_both_processes_of_a_replacement failed before. Two tests of handover.rs held that the id of a session that had run is free for a new one, which is the fault: they now hold that it is free for an established session and refused to a new one. The check that an id is in use until both sessions have ended asks as an established session, since a new one would be refused either way.

--- a/crates/larklink-proxy/src/handover/messages.rs
+++ b/crates/larklink-proxy/src/handover/messages.rs
@@ -45,7 +45,7 @@
         #[serde(rename = "held")]
         descriptors_in_use: usize,
     },
-    /// Changes of the ids in use in the sender's open sessions. The successor sends them, if its predecessor exchanges
+    /// Changes of the ids that sessions must not use, by the sender's open and ended sessions. The successor sends them, if its predecessor exchanges
     /// them, from before its takeover request on; the predecessor answers with all of its own before it grants the
     /// takeover.
     #[serde(rename = "ids")]
@@ -67,7 +67,8 @@
     pub client_key: u64,
 }
 
-/// Sessions that were opened, and then sessions that were closed. An id that two sessions use is opened and closed twice.
+/// Sessions that were opened, ids that endpoints may have run, and then sessions that were closed. An id that two sessions
+/// use is opened and closed twice.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionIdChanges {
     /// The opened sessions.
@@ -76,6 +77,9 @@
     /// The ids of the closed sessions.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub closed: Vec<u64>,
+    /// The ids of sessions that endpoints may have run: no new session may use them. An older process ignores them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub used: Vec<u64>,
 }
 
 /// What a process needs to continue an established session.
--- a/crates/larklink-proxy/src/handover/predecessor.rs
+++ b/crates/larklink-proxy/src/handover/predecessor.rs
@@ -186,6 +186,8 @@
         let server = self.reader.take_descriptor()?.into();
         let open_line = parse_open_line(session.open_line.as_bytes()).ok();
         let open_session = open_line.map(|open_line| context.sessions.open(&open_line));
+        // Its endpoint has accepted it.
+        open_session.iter().for_each(OpenSession::record_sent);
         Ok(HandedOverSession { session, open_session, client, server })
     }
 }
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -6,7 +6,8 @@
 //! - `session` runs a client's session: first line, attempts, relay, migration.
 //! - [`upstream`] makes attempts and health checks at endpoints; [`discovery`] follows the endpoint list.
 //! - [`handover`] takes sessions over from a predecessor process and hands them over to a successor.
-//! - `session_registry` tracks the open sessions; [`limiter`] limits the open file descriptors; [`metrics`], [`admin`] and [`log`] report.
+//! - [`session_registry`] tracks the sessions and their ids; [`limiter`] limits the open file descriptors; [`metrics`],
+//!   [`admin`] and [`log`] report.
 //! - [`config`], [`reload`], [`protocol`] and [`endpoint_list`] define the external formats.
 mod accept;
 pub mod admin;
@@ -25,6 +26,6 @@
 pub mod proxy;
 pub mod reload;
 mod session;
-mod session_registry;
+pub mod session_registry;
 pub mod timeout;
 pub mod upstream;
--- a/crates/larklink-proxy/src/session/connect.rs
+++ b/crates/larklink-proxy/src/session/connect.rs
@@ -38,20 +38,14 @@
     }
     let (sender, commands) = async_channel::bounded(COMMAND_CAPACITY);
     let open = DecisionEvent::OpenSession {
-        session: request.session,
+        session: request.number(),
         received_at: client.received_at,
         request: session_request,
         commands: sender,
     };
     context.queue.send(open).await;
-    let pending = PendingSession {
-        context,
-        client,
-        request,
-        commands,
-        may_have_run: false,
-        has_started_attempt: Cell::new(false),
-    };
+    let pending =
+        PendingSession { context, client, request, commands, has_started_attempt: Cell::new(false) };
     pending.run().await
 }
 
@@ -80,8 +74,6 @@
     client: &'a mut Client,
     request: &'a Request<'a>,
     commands: Receiver<SessionCommand>,
-    /// Whether an endpoint may have run the session, so that another attempt could run it twice.
-    may_have_run: bool,
     /// Whether any attempt has begun to connect.
     has_started_attempt: Cell<bool>,
 }
@@ -142,7 +134,14 @@
             self.has_started_attempt.set(self.has_started_attempt.get() || connects);
             connects
         };
-        let may_send = || is_client_waiting() && permit.try_use();
+        let session = self.request.session;
+        let may_send = || {
+            let sends = is_client_waiting() && permit.try_use();
+            if sends {
+                session.record_sent();
+            }
+            sends
+        };
         let send = async {
             context.limiter.evictions_done().await;
             let Some(address) = command.address else {
@@ -174,7 +173,7 @@
         // so that an acceptance that arrives by the deadline counts.
         let end = permit_expired.or(client_left).or(send).or(answer_deadline_passed).await;
         let never_ran = matches!(&end, AttemptEnd::NotAccepted(outcome) if outcome.proves_not_run());
-        self.may_have_run |= permit.is_used() && !never_ran;
+        session.record_attempt_ended(never_ran);
         match end {
             AttemptEnd::NotAccepted(AttemptOutcome::NotSent) if !is_client_waiting() => {
                 let Err(reason) = watch_client::<Infallible>(stream, buffer, open_line.established).await;
@@ -186,7 +185,7 @@
 
     async fn report_attempt(&self, attempt: AttemptNumber, outcome: AttemptOutcome) {
         let ended = DecisionEvent::AttemptEnded {
-            session: self.request.session,
+            session: self.request.number(),
             attempt,
             outcome,
             session_over: false,
@@ -198,7 +197,7 @@
     async fn establish(self, command: &ConnectCommand, connection: Connection) -> EndReason {
         let Self { context, client, request, commands, .. } = self;
         context.metrics.record_answer(request.listener, FinalAnswer::Accepted);
-        let (session, attempt) = (request.session, command.attempt);
+        let (session, attempt) = (request.number(), command.attempt);
         context.queue.send(DecisionEvent::Established { session, attempt }).await;
         let established = RelayedSession::new(session, attempt, command.endpoint, request.line);
         relay::run(context, established, client, connection, &commands).await
@@ -222,9 +221,9 @@
 
     /// Ends the session before the decision task has decided on an answer.
     async fn abandon(&mut self, reason: EndReason) -> EndReason {
-        self.context.queue.send(DecisionEvent::ClientLeft { session: self.request.session }).await;
+        self.context.queue.send(DecisionEvent::ClientLeft { session: self.request.number() }).await;
         match reason {
-            EndReason::NoDescriptors | EndReason::Shutdown if !self.may_have_run => {
+            EndReason::NoDescriptors | EndReason::Shutdown if !self.request.session.may_have_run() => {
                 self.record_rejection(reason);
                 self.client.answer(BUSY).await;
             }
--- a/crates/larklink-proxy/src/session/handler.rs
+++ b/crates/larklink-proxy/src/session/handler.rs
@@ -24,7 +24,7 @@
 use crate::log::EndReason;
 use crate::metrics::FinalAnswer;
 use crate::protocol::{LineBuffer, OpenLine, OpenLineError, parse_open_line};
-use crate::session_registry::OpenSession;
+use crate::session_registry::{OpenSession, SessionIdError};
 use crate::timeout::with_timeout;
 
 /// How long a client may take to send its first line, or the next one after a health check. A connection on which no
@@ -61,8 +61,8 @@
     Malformed(#[from] OpenLineError),
     #[error("unknown listener")]
     UnknownListener,
-    #[error("session id is already in use")]
-    SessionIdInUse,
+    #[error(transparent)]
+    SessionId(#[from] SessionIdError),
 }
 
 /// Handles a client connection until it ends, and logs the end.
@@ -118,18 +118,16 @@
     }
     let open_session = context.sessions.open(&open_line);
     let _in_progress = context.metrics.session_started();
-    let request = Request { session: open_session.number, line: &line, open_line, listener };
+    let request = Request { session: &open_session, line: &line, open_line, listener };
     let reason = connect::run(context, client, &request).await;
-    ConnectionEnd { session: Some(request.session), reason }
+    ConnectionEnd { session: Some(request.number()), reason }
 }
 
 /// Parses a first line and looks up its listener.
 fn validate<'a>(context: &SessionContext, line: &'a [u8]) -> Result<(OpenLine<'a>, usize), FirstLineError> {
     let open_line = parse_open_line(line)?;
     let listener = find_listener(context, &open_line).ok_or(FirstLineError::UnknownListener)?;
-    if !context.sessions.is_id_free(&open_line) {
-        return Err(FirstLineError::SessionIdInUse);
-    }
+    context.sessions.check_id(&open_line)?;
     Ok((open_line, listener))
 }
 
@@ -247,8 +245,8 @@
         return ConnectionEnd::without_session(EndReason::ProtocolError);
     };
     let _in_progress = context.metrics.session_started();
-    let request = Request { session: open_session.number, line, open_line, listener };
-    let (session, endpoint) = (request.session, handed_over.endpoint);
+    let request = Request { session: &open_session, line, open_line, listener };
+    let (session, endpoint) = (request.number(), handed_over.endpoint);
     let (sender, commands) = async_channel::bounded(COMMAND_CAPACITY);
     let find = DecisionEvent::FindEndpoint { session, endpoint, commands: sender };
     context.queue.send(find).await;
--- a/crates/larklink-proxy/src/session/reconnect.rs
+++ b/crates/larklink-proxy/src/session/reconnect.rs
@@ -35,14 +35,14 @@
     session_request: SessionRequest,
     endpoint_name: &str,
 ) -> EndReason {
-    let (session, endpoint) = (request.session, endpoint_id(endpoint_name));
+    let (session, endpoint) = (request.number(), endpoint_id(endpoint_name));
     let (sender, commands) = async_channel::bounded(COMMAND_CAPACITY);
     let lookup = EndpointLookup { context, session, endpoint, sender: &sender, commands: &commands };
     let has_descriptor = client.permit.try_acquire_upstream();
     let Connection { stream, buffer } = &mut client.connection;
     let stream = &*stream;
     let is_client_waiting = || is_waiting(stream.get_ref(), true);
-    let connected = connect(&lookup, request.line, has_descriptor, is_client_waiting);
+    let connected = connect(&lookup, request, has_descriptor, is_client_waiting);
     let client_left = watch_client(stream, buffer, true);
     match connected.or(client_left).or(context.shutdown.answer_deadline_passed()).await {
         Ok(connection) => {
@@ -90,7 +90,7 @@
 /// before each attempt: the endpoint list in use at the start may lack the endpoint, or have an old address of it.
 async fn connect(
     lookup: &EndpointLookup<'_>,
-    line: &[u8],
+    request: &Request<'_>,
     has_descriptor: bool,
     is_client_waiting: impl Fn() -> bool,
 ) -> Result<Connection, EndReason> {
@@ -100,18 +100,29 @@
         return Err(EndReason::NoDescriptors);
     }
     limiter.evictions_done().await;
+    let may_send = || {
+        let sends = is_client_waiting();
+        if sends {
+            request.session.record_sent();
+        }
+        sends
+    };
     loop {
         let outcome = match lookup.address().await {
             Some(address) => {
                 let attempt = Attempt { address, deadline, connect_timeout: *connect_timeout, metrics };
-                let mut slices = [IoSlice::new(line)];
-                match attempt.send(&mut slices, &is_client_waiting, &is_client_waiting).await {
-                    Ok(connection) => return Ok(connection),
+                let mut slices = [IoSlice::new(request.line)];
+                match attempt.send(&mut slices, &is_client_waiting, &may_send).await {
+                    Ok(connection) => {
+                        request.session.record_attempt_ended(false);
+                        return Ok(connection);
+                    }
                     Err(outcome) => outcome,
                 }
             }
             None => AttemptOutcome::NotSent,
         };
+        request.session.record_attempt_ended(outcome.proves_not_run());
         // The session may have run: another attempt could run it twice.
         if !outcome.proves_not_run() || Instant::now() >= deadline {
             return Err(EndReason::Failed);
--- a/crates/larklink-proxy/src/session/request.rs
+++ b/crates/larklink-proxy/src/session/request.rs
@@ -3,11 +3,12 @@
 use larklink_engine::engine::SessionId;
 
 use crate::protocol::OpenLine;
+use crate::session_registry::OpenSession;
 
 /// A session that a client has requested.
 pub(super) struct Request<'a> {
-    /// The session's number in this process.
-    pub(super) session: SessionId,
+    /// The session in the registry of this process.
+    pub(super) session: &'a OpenSession,
     /// The session's first line, with the CRLF.
     pub(super) line: &'a [u8],
     /// The fields parsed from `line`.
@@ -17,6 +18,11 @@
 }
 
 impl Request<'_> {
+    /// The session's number in this process.
+    pub(super) fn number(&self) -> SessionId {
+        self.session.number
+    }
+
     /// Converts the request to the form that the engine takes.
     pub(super) fn to_session_request(&self) -> SessionRequest {
         SessionRequest {
--- a/crates/larklink-proxy/src/session/send_permit.rs
+++ b/crates/larklink-proxy/src/session/send_permit.rs
@@ -31,11 +31,6 @@
         self.used.get()
     }
 
-    /// Whether the permit was used.
-    pub(super) fn is_used(&self) -> bool {
-        self.used.get()
-    }
-
     /// Applies the commands that bring the send deadline forward. Resolves when the permit expires unused, so that the
     /// session is retried at once and not only when the connection is up.
     pub(super) async fn expired(&self, commands: &Receiver<SessionCommand>) -> AttemptOutcome {
--- a/crates/larklink-proxy/tests/first_lines.rs
+++ b/crates/larklink-proxy/tests/first_lines.rs
@@ -1,10 +1,14 @@
 //! What a client may send first, and how one is treated that sends nothing, invalid lines or too much.
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 mod harness;
 use harness::peer::{Peer, open_line};
-use harness::{establish, establish_with, listen, refusing_address, start, start_with_servers, wait_until};
+use harness::{
+    establish, establish_with, listen, non_empty_first_lines, refusing_address, start, start_with_servers,
+    wait_until,
+};
 
 #[test]
 fn a_client_that_disconnects_while_it_waits_is_detected() {
@@ -69,12 +73,72 @@
     drop(second);
     second_server.expect_end();
     wait_until(|| proxy.metrics.text().contains("app.in_progress=1\n"));
-    let mut other = Peer::connect(proxy.address, &head.replace(" 2 c=", " 3 c="));
+    // Only an established session could have an id that has run, unless it is in use.
+    let mut other = Peer::connect(proxy.address, &again.replace(" 2 c=", " 3 c="));
     assert_eq!(other.receive_line(), "ERR\r\n");
     client.send("still here\r\n");
     assert_eq!(server.receive_line(), "still here\r\n");
 }
 
+/// Guards against a session that runs twice: an id whose client had left, before or after its server answered, was sent
+/// to a server again when it came on a new connection.
+#[test]
+fn the_id_of_a_session_that_may_have_run_is_not_accepted_again() {
+    let (listener, at) = listen();
+    let proxy = start_with_servers(&[at]);
+    for attributes in ["c=pay,d=2000", "c=chat,d=2000", "c=pay,d=2000,at=s-0"] {
+        for (is_answered, resets) in [(false, false), (false, true), (true, false), (true, true)] {
+            let head = open_line(attributes);
+            let mut client = Peer::connect(proxy.address, &head);
+            let mut server = Peer::accept(&listener);
+            server.receive_line();
+            if is_answered {
+                server.send("UP 5\r\n");
+                assert_eq!(client.receive_line(), "UP 5\r\n");
+            }
+            if resets {
+                client.reset()
+            } else {
+                drop(client)
+            }
+            wait_until(|| proxy.metrics.text().contains("app.in_progress=0\n"));
+            let mut again = Peer::connect(proxy.address, &head);
+            assert_eq!(again.receive_line(), "ERR\r\n", "{head} answered={is_answered} reset={resets}");
+        }
+    }
+    // The second attempt of this session may have run.
+    let head = open_line("c=pay,d=2000");
+    let mut client = Peer::connect(proxy.address, &head);
+    answer_attempt(&listener, "BUSY\r\n");
+    answer_attempt(&listener, "ERR\r\n");
+    assert_eq!(client.receive_line(), "ERR\r\n");
+    assert_eq!(Peer::connect(proxy.address, &head).receive_line(), "ERR\r\n");
+    assert_eq!(non_empty_first_lines(&listener), [""; 0]);
+}
+
+/// A session that no endpoint has run may come again with its id.
+#[test]
+fn the_id_of_a_session_that_never_ran_is_accepted_again() {
+    let (listener, at) = listen();
+    let proxy = start_with_servers(&[at]);
+    thread::spawn(move || {
+        answer_attempt(&listener, "BUSY\r\n");
+        answer_attempt(&listener, "BUSY\r\n");
+        answer_attempt(&listener, "UP 5\r\n");
+    });
+    let head = open_line("c=pay,d=2000");
+    let mut answers = std::iter::repeat_with(|| Peer::connect(proxy.address, &head).receive_line());
+    let accepted = answers.find(|answer| !answer.starts_with("BUSY")).unwrap();
+    assert_eq!(accepted, "UP 5\r\n");
+}
+
+/// Accepts an attempt and answers it.
+fn answer_attempt(listener: &TcpListener, answer: &str) {
+    let mut server = Peer::accept(listener);
+    server.receive_line();
+    server.send(answer);
+}
+
 #[test]
 fn a_client_that_sends_before_its_answer_is_failed() {
     let (listener, at) = listen();
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use larklink_proxy::endpoint_list::Endpoint;
 use larklink_proxy::handover::channel::message_channel;
@@ -276,8 +276,15 @@
     }
 }
 
-/// A server that closes the connection of each session after its first line, and the number of sessions received.
-fn dropping_server() -> (SocketAddr, Arc<AtomicUsize>) {
+/// What a server does with the connection of a session after its first line, which it never answers.
+#[derive(Clone, Copy, PartialEq)]
+enum Unanswered {
+    Close,
+    Hold,
+}
+
+/// A server that answers no session, and the number of sessions received.
+fn unanswering_server(unanswered: Unanswered) -> (SocketAddr, Arc<AtomicUsize>) {
     let (listener, at) = listen();
     let received = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&received);
@@ -288,6 +295,9 @@
                 let mut line = String::new();
                 let _ = peer.0.read_line(&mut line);
                 count.fetch_add(usize::from(line.starts_with("OPEN")), Relaxed);
+                if unanswered == Unanswered::Hold {
+                    let _ = peer.0.read_to_end(&mut Vec::new());
+                }
             });
         }
     });
@@ -299,7 +309,7 @@
 /// old process: the new one sends none.
 #[test]
 fn the_retry_budget_is_shared_by_both_processes() {
-    let (server, received) = dropping_server();
+    let (server, received) = unanswering_server(Unanswered::Close);
     let safety = r#"{"budget_free":2,"extra_per_request":0,"counted_over_ns":60000000000}"#;
     let proxy = Proxy::with("retry_budget", "proxy", server, discovery_service(server), safety);
     let expect_rejected = || {
@@ -476,6 +486,12 @@
     client.receive_line()
 }
 
+/// Opens a session that was established through another proxy, as [`answer_to_id`] does.
+fn answer_to_established_id(client: &mut Peer, id: u64, client_key: u64) -> String {
+    client.send(&format!("OPEN {id:x} {client_key:x} c=chat,t=acme,d=5000,g=3,mid=1\r\n"));
+    client.receive_line()
+}
+
 fn connect(proxy: &Proxy) -> Peer {
     Peer::new(TcpStream::connect(proxy.listen).unwrap())
 }
@@ -491,12 +507,14 @@
     assert_eq!(answer_to_id(client, id, 0xbad), "ERR\r\n", "the id {id:x} of an open session was accepted");
 }
 
-/// Waits until the id is no longer in use, after the end of its session.
-fn wait_until_id_is_free(proxy: &Proxy, id: u64) {
+/// Waits until the id is no longer in use, after the end of its session: an established session of another client may
+/// have it then. No new session ever may, since the id has run.
+fn wait_until_id_is_not_in_use(proxy: &Proxy, id: u64) {
     let until = Instant::now() + WAIT_TIMEOUT;
-    while answer_to_id(&mut connect(proxy), id, 0xbad) != "UP 1\r\n" {
-        assert!(Instant::now() < until, "the id {id:x} is never free again");
+    while answer_to_established_id(&mut connect(proxy), id, 0xbad) != "UP 1\r\n" {
+        assert!(Instant::now() < until, "the id {id:x} is in use for ever");
     }
+    expect_id_refused(&mut connect(proxy), id);
 }
 
 /// Guards against a session that is served under the id of another client's open session: during a replacement each
@@ -535,7 +553,7 @@
         expect_echo(client);
         client.send("END\r\n");
         assert_eq!((client.receive_line(), client.receive_line()), ("BYE\r\n".into(), String::new()));
-        wait_until_id_is_free(&proxy, id);
+        wait_until_id_is_not_in_use(&proxy, id);
     }
 }
 
@@ -553,7 +571,53 @@
     expect_echo(&mut client);
     old.signal(Signal::KILL);
     let _ = old.child.wait();
-    wait_until_id_is_free(&proxy, 0x9001);
+    wait_until_id_is_not_in_use(&proxy, 0x9001);
+}
+
+/// Guards against a session that runs twice: an id whose client had left before its server answered was sent to a server
+/// again by the other process of a replacement, or after the end of the process that had sent it.
+#[test]
+fn an_id_that_may_have_run_is_refused_by_both_processes_of_a_replacement() {
+    let (server, received) = unanswering_server(Unanswered::Hold);
+    let proxy = Proxy::new("used-ids", "proxy", server, discovery_service(server));
+    let old = proxy.start().wait_until_ready();
+    let send_and_leave = |id: u64| {
+        let count = received.load(Relaxed);
+        let mut client = connect(&proxy);
+        client.send(&format!("OPEN {id:x} 1 c=chat,t=acme,d=5000,g=3\r\n"));
+        while received.load(Relaxed) == count {
+            thread::yield_now();
+        }
+        client
+    };
+    drop(send_and_leave(0xa001));
+    let leaves_later = send_and_leave(0xa002);
+    let leaves_at_the_end = send_and_leave(0xa003);
+    // A connection that the old process has accepted, and that sends its first line after the takeover.
+    let mut late = connect(&proxy);
+    let new = proxy.start();
+    while !new.is_ready() {
+        late.send("PING\r\n");
+        assert_eq!(late.receive_line(), "PONG\r\n");
+    }
+    drop(leaves_later);
+    drop(send_and_leave(0xa004));
+    let sent = received.load(Relaxed);
+    for id in [0xa001, 0xa002, 0xa003] {
+        expect_id_refused(&mut connect(&proxy), id);
+    }
+    // Time for the reports of ended sessions: an id must stay refused after them.
+    thread::sleep(Duration::from_millis(200));
+    expect_id_refused(&mut connect(&proxy), 0xa002);
+    expect_id_refused(&mut late, 0xa004);
+    old.signal(Signal::TERM);
+    drop(leaves_at_the_end);
+    old.wait_for_exit();
+    let _newest = proxy.start().wait_until_ready();
+    for id in 0xa001..=0xa004 {
+        expect_id_refused(&mut connect(&proxy), id);
+    }
+    assert_eq!(received.load(Relaxed), sent, "an id was sent to a server twice");
 }
 
 /// A process of an older version would take a message that it does not know for the end of the other process.
--- a/crates/larklink-proxy/tests/wire_fixtures.rs
+++ b/crates/larklink-proxy/tests/wire_fixtures.rs
@@ -87,6 +87,11 @@
         HandoverMessage::SessionIds(SessionIdChanges {
             opened: vec![OpenId { id: u64::MAX, client_key: 0 }, OpenId { id: 0x9b1f, client_key: u64::MAX }],
             closed: vec![0, u64::MAX],
+            used: Vec::new(),
+        }),
+        HandoverMessage::SessionIds(SessionIdChanges {
+            used: vec![0, u64::MAX],
+            ..SessionIdChanges::default()
         }),
     ]
 }
