A caller that sends on after its response no longer holds up the admin endpoint

Cause: the endpoint drops what comes after a response in a loop that never leaves its task the turn while bytes are there. Change: it uses the clients' loop, which yields after each read, and now stands once, in connection.rs.

--- a/crates/larklink-proxy/src/admin/mod.rs
+++ b/crates/larklink-proxy/src/admin/mod.rs
@@ -14,6 +14,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
+use crate::connection::discard_until_end;
 use crate::metrics::Metrics;
 use crate::timeout::with_timeout;
 use response::respond;
@@ -104,12 +105,7 @@
     let response = read_request(stream, metrics).await?;
     stream.write_all(response.as_bytes()).await?;
     stream.get_ref().shutdown(Shutdown::Write)?;
-    let closed = async {
-        let mut ignored = [0; READ_BYTES];
-        while stream.read(&mut ignored).await? > 0 {}
-        Ok(())
-    };
-    with_timeout(LINGER_TIMEOUT, closed).await
+    with_timeout(LINGER_TIMEOUT, discard_until_end(stream, LINGER_TIMEOUT)).await
 }
 
 /// Reads a request until it can be answered. Returns the response.
--- a/crates/larklink-proxy/src/connection.rs
+++ b/crates/larklink-proxy/src/connection.rs
@@ -1,10 +1,16 @@
 //! A TCP connection and its read buffer.
 use std::io::{ErrorKind, IoSlice, Read, Result, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use async_io::Async;
+use futures_lite::future;
 
 use crate::protocol::LineBuffer;
+use crate::timeout::with_timeout;
+
+/// How many bytes are read and discarded at once.
+const DISCARD_LENGTH: usize = 64 << 10;
 
 /// A TCP connection with a buffer of the bytes read from it.
 pub struct Connection {
@@ -87,3 +93,23 @@
     }
     Ok(())
 }
+
+/// Reads and discards what the peer still sends until it closes its side.
+///
+/// # Errors
+/// The socket's error, or [`ErrorKind::TimedOut`] if the peer neither sends nor closes for `idle_timeout`.
+pub async fn discard_until_end(stream: &Async<TcpStream>, idle_timeout: Duration) -> Result<()> {
+    while with_timeout(idle_timeout, stream.read_with(discard)).await? > 0 {
+        // A peer that sends at full speed must not starve other tasks.
+        future::yield_now().await;
+    }
+    Ok(())
+}
+
+/// Reads once and discards the bytes; returns their number.
+///
+/// # Errors
+/// The socket's error.
+pub fn discard(mut stream: &TcpStream) -> Result<usize> {
+    stream.read(&mut [0; DISCARD_LENGTH])
+}
--- a/crates/larklink-proxy/src/session/client.rs
+++ b/crates/larklink-proxy/src/session/client.rs
@@ -1,13 +1,13 @@
 //! A client's connection: sending the final answer and closing it.
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 use async_io::Async;
-use futures_lite::{AsyncWriteExt, FutureExt, future};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use socket2::SockRef;
 
-use crate::connection::Connection;
+use crate::connection::{Connection, discard, discard_until_end};
 use crate::limiter::ConnectionPermit;
 use crate::timeout::with_timeout;
 
@@ -23,8 +23,6 @@
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The limit on the total time for that while the peer keeps sending.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
-/// How many bytes are read and discarded at once.
-const DISCARD_LENGTH: usize = 64 << 10;
 /// The limit on such reads before a connection for which there is no descriptor is closed.
 const MAX_IMMEDIATE_DISCARDS: usize = 16;
 
@@ -62,14 +60,7 @@
     if connection.stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let drain = async {
-        while with_timeout(LINGER_TIMEOUT, connection.stream.read_with(discard)).await? > 0 {
-            // Yield, so that a client that sends at full speed does not starve other tasks.
-            future::yield_now().await;
-        }
-        Ok(())
-    };
-    let _ = with_timeout(DRAIN_TIMEOUT, drain).await;
+    let _ = with_timeout(DRAIN_TIMEOUT, discard_until_end(&connection.stream, LINGER_TIMEOUT)).await;
 }
 
 /// Makes the kernel reset the connection when the socket is closed.
@@ -88,8 +79,3 @@
         }
     }
 }
-
-/// Reads once and discards the bytes.
-fn discard(mut stream: &TcpStream) -> std::io::Result<usize> {
-    stream.read(&mut [0; DISCARD_LENGTH])
-}
