Bound the connections that are served at the handover socket

Cause: each connection was served without a bound, for as long as it stayed. Change: four new processes are served at once beside the successor, a further one evicts the oldest. The slots are those of the admin endpoint, in a module of their own. Measured: clients_are_served_while_new_processes_send_without_pause failed before (the 16 oldest of 20 connections stayed open) and passes.

--- a/crates/larklink-proxy/src/admin/mod.rs
+++ b/crates/larklink-proxy/src/admin/mod.rs
@@ -2,19 +2,18 @@
 //! separate thread, so that client load does not delay it, and accesses the metrics only.
 pub mod response;
 
-use std::collections::VecDeque;
 use std::io::{ErrorKind, Result};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::connection::discard_until_end;
+use crate::connection_slots::{ConnectionSlots, Eviction};
 use crate::metrics::Metrics;
 use crate::timeout::with_timeout;
 use response::respond;
@@ -54,13 +53,13 @@
     metrics: &Arc<Metrics>,
     executor: &Rc<LocalExecutor<'static>>,
 ) {
-    let mut slots = ConnectionSlots::default();
+    let mut slots = ConnectionSlots::new(MAX_CONNECTIONS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 // The task ends with its connection, or when the connection is evicted.
-                let evicted = slots.add();
-                executor.spawn(serve(stream, evicted, Arc::clone(metrics))).detach();
+                let eviction = slots.add();
+                executor.spawn(serve(stream, eviction, Arc::clone(metrics))).detach();
             }
             Err(error) => {
                 tracing::warn!(%error, "admin endpoint cannot accept");
@@ -70,34 +69,14 @@
     }
 }
 
-/// The connections being served, oldest first. Each connection holds the receiver of a channel: dropping the sender
-/// evicts the connection, and the channel is closed once the connection has ended.
-#[derive(Default)]
-struct ConnectionSlots(VecDeque<Sender<()>>);
-
-impl ConnectionSlots {
-    /// Adds a connection, evicting the oldest one if there are [`MAX_CONNECTIONS`] already. Returns the receiver that
-    /// signals its eviction.
-    fn add(&mut self) -> Receiver<()> {
-        self.0.retain(|connection| !connection.is_closed());
-        if self.0.len() == MAX_CONNECTIONS {
-            self.0.pop_front();
-        }
-        let (connection, evicted) = async_channel::bounded(1);
-        self.0.push_back(connection);
-        evicted
-    }
-}
-
 /// Serves a connection until it ends, times out or is evicted.
-async fn serve(stream: Async<TcpStream>, evicted: Receiver<()>, metrics: Arc<Metrics>) {
-    let eviction = async {
-        // Nothing is ever sent; this fails when the sender is dropped.
-        let _ = evicted.recv().await;
+async fn serve(stream: Async<TcpStream>, eviction: Eviction, metrics: Arc<Metrics>) {
+    let evicted = async {
+        eviction.wait().await;
         Ok(())
     };
     // Errors are ignored: they only mean that the caller disconnected or timed out.
-    let _ = with_timeout(REQUEST_TIMEOUT, exchange(&stream, &metrics)).or(eviction).await;
+    let _ = with_timeout(REQUEST_TIMEOUT, exchange(&stream, &metrics)).or(evicted).await;
 }
 
 /// Reads a request, sends the response, and waits for the caller to close the connection.
--- a/crates/larklink-proxy/src/handover/messages.rs
+++ b/crates/larklink-proxy/src/handover/messages.rs
@@ -123,6 +123,9 @@
     /// Fewer descriptors were attached than the message requires.
     #[error("descriptor missing from message")]
     MissingDescriptor,
+    /// More new processes have connected since than are served at once.
+    #[error("evicted by new processes that connected later")]
+    TooManyProcesses,
     /// More descriptors were received than the messages can require.
     #[error("too many descriptors attached")]
     TooManyDescriptors,
--- a/crates/larklink-proxy/src/handover/successor.rs
+++ b/crates/larklink-proxy/src/handover/successor.rs
@@ -16,9 +16,13 @@
 use super::channel::{MessageReader, MessageWriter, message_channel};
 use super::messages::{EstablishedSession, HandoverMessage, ProtocolError, SessionIdChanges, VERSION};
 use super::{HandoverContext, POLL_INTERVAL};
+use crate::connection_slots::{ConnectionSlots, Eviction};
 use crate::events::DecisionEvent;
 use crate::session_registry::ProcessLink;
 
+/// New processes that are served concurrently, beside the successor. A further one evicts the oldest.
+const MAX_NEW_PROCESSES: usize = 4;
+
 /// The process that has taken over from this one, if there is one.
 #[derive(Default)]
 pub(crate) struct Successor {
@@ -111,6 +115,7 @@
         mut socket: Async<UnixListener>,
         executor: &LocalExecutor<'static>,
     ) -> Result<()> {
+        let mut slots = ConnectionSlots::new(MAX_NEW_PROCESSES);
         loop {
             let accepted = async { socket.accept().await.map(|(stream, _)| Some(stream)) };
             let successor_lost = async {
@@ -123,17 +128,18 @@
                 continue;
             };
             let server = Rc::clone(&self);
-            // The task ends with its connection.
-            executor.spawn(async move { server.serve(stream).await }).detach();
+            let eviction = slots.add();
+            // The task ends with its connection, or when the connection is evicted.
+            executor.spawn(async move { server.serve(stream, &eviction).await }).detach();
         }
     }
 
-    async fn serve(&self, stream: Async<UnixStream>) {
+    async fn serve(&self, stream: Async<UnixStream>, eviction: &Eviction) {
         // The new process has its reserved descriptors open from its start.
         let limiter = &self.context.limiter;
         limiter.set_other_process_use(limiter.reserved());
         let (reader, writer) = message_channel(stream);
-        if let Err(error) = NewProcess::new(self, reader, &writer).run().await {
+        if let Err(error) = NewProcess::new(self, reader, &writer, eviction).run().await {
             tracing::info!(%error, "new process lost");
         }
         let was_successor = self.successor.is(&writer);
@@ -157,6 +163,7 @@
     ReportDue,
     SessionOpened,
     ShuttingDown,
+    Evicted,
 }
 
 /// The connection to one new process.
@@ -164,6 +171,7 @@
     server: &'a HandoverServer,
     reader: MessageReader,
     writer: &'a Rc<MessageWriter>,
+    eviction: &'a Eviction,
     /// Whether the new process exchanges session ids; an older one does not.
     exchanges_session_ids: bool,
     /// The exchange of session ids, from the takeover on.
@@ -179,11 +187,17 @@
 }
 
 impl<'a> NewProcess<'a> {
-    fn new(server: &'a HandoverServer, reader: MessageReader, writer: &'a Rc<MessageWriter>) -> Self {
+    fn new(
+        server: &'a HandoverServer,
+        reader: MessageReader,
+        writer: &'a Rc<MessageWriter>,
+        eviction: &'a Eviction,
+    ) -> Self {
         Self {
             server,
             reader,
             writer,
+            eviction,
             exchanges_session_ids: false,
             session_ids: None,
             granted: false,
@@ -209,6 +223,7 @@
                     self.shutdown_announced = true;
                     self.writer.send(&HandoverMessage::Stopping, &[]).await?;
                 }
+                Event::Evicted => return Err(ProtocolError::TooManyProcesses.into()),
                 Event::SessionOpened => self.report_session_ids().await?,
                 Event::ReportDue => {
                     self.next_report_at = Instant::now() + POLL_INTERVAL;
@@ -250,8 +265,16 @@
             Timer::at(self.next_report_at).await;
             Ok(Event::ReportDue)
         };
+        let evicted = async {
+            // Evicting the successor would end the handover.
+            if self.granted {
+                return future::pending().await;
+            }
+            self.eviction.wait().await;
+            Ok(Event::Evicted)
+        };
         // In this order: a successor that sends without pause must not hold the reports up.
-        report_due.or(shutting_down).or(session_opened).or(received).await
+        evicted.or(report_due).or(shutting_down).or(session_opened).or(received).await
     }
 
     /// Grants the takeover, unless another process has taken over. Returns whether it was granted.
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod config;
 pub mod connection;
+mod connection_slots;
 pub mod decision_task;
 pub mod discovery;
 pub mod endpoint_list;
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -2,7 +2,7 @@
 //! Every wait is for a line, an end of stream or an exit that must come.
 #![allow(clippy::unwrap_used, reason = "a test stops where its setup fails")]
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -620,6 +620,46 @@
     assert_eq!(received.load(Relaxed), sent, "an id was sent to a server twice");
 }
 
+/// Guards against clients that wait for seconds while another process sends messages without pause, and against memory
+/// that grows with each connection to the handover socket: connections that stop half way are evicted.
+#[test]
+fn clients_are_served_while_new_processes_send_without_pause() {
+    let server = echo_server();
+    let proxy = Proxy::new("flood", "proxy", server, discovery_service(server));
+    let _process = proxy.start().wait_until_ready();
+    let mut half_messages: Vec<_> = (0..20)
+        .map(|_| {
+            let mut stream = UnixStream::connect(proxy.socket_path()).unwrap();
+            stream.write_all(b"{\"ids\":{\"opened\":[").unwrap();
+            stream
+        })
+        .collect();
+    for evicted in &mut half_messages[..16] {
+        evicted.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        let ended = evicted.read_to_end(&mut Vec::new()).map_err(|error| error.kind());
+        // A connection with bytes that the process has not read is reset.
+        assert!(matches!(ended, Ok(_) | Err(ErrorKind::ConnectionReset)), "not evicted: {ended:?}");
+    }
+    let is_served = Arc::new(AtomicBool::new(false));
+    let floods: Vec<_> = (0..2)
+        .map(|_| {
+            let mut stream = UnixStream::connect(proxy.socket_path()).unwrap();
+            let is_served = Arc::clone(&is_served);
+            let messages = "{\"ids\":{}}\n".repeat(10_000);
+            thread::spawn(move || {
+                while !is_served.load(Relaxed) {
+                    stream.write_all(messages.as_bytes()).unwrap();
+                }
+            })
+        })
+        .collect();
+    for _ in 0..20 {
+        expect_echo(&mut establish(&proxy));
+    }
+    is_served.store(true, Relaxed);
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+}
+
 /// A process of an older version would take a message that it does not know for the end of the other process.
 #[test]
 fn session_ids_are_not_sent_to_older_processes() {
