The list of a fleet of 3,200 servers is taken in its widest form

Cause: a response's body was limited to 1 MiB, a figure without a reason. Change: the limit is 3,200 endpoints times over twice the widest entry; a handover offer has the same. Chunked encoding is bounded in its own bytes. A list that is too long is counted in /metrics and logged with its size; reading a response leaves other tasks their turn. /metrics has one more line, and so the fixtures.

--- a/crates/larklink-proxy/src/discovery/client.rs
+++ b/crates/larklink-proxy/src/discovery/client.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
@@ -17,6 +18,7 @@
 use crate::discovery::watch_state::{BackoffRule, PollOutcome, WatchState};
 use crate::endpoint_list::EndpointList;
 use crate::events::{DecisionEvent, DecisionQueue};
+use crate::metrics::Metrics;
 use crate::timeout::with_timeout;
 
 /// Failures that are assumed when the address changes. A proxy counts as notified by the new address four seconds after
@@ -30,6 +32,7 @@
     new_addresses: Receiver<SocketAddr>,
     schedule: PollSchedule,
     queue: DecisionQueue,
+    metrics: Arc<Metrics>,
     mut rng: ChaCha8Rng,
 ) {
     let mut failures = 0;
@@ -38,6 +41,7 @@
             address,
             schedule: &schedule,
             queue: &queue,
+            metrics: &metrics,
             rng: &mut rng,
             state: WatchState::new(failures),
             idle_connection: None,
@@ -61,6 +65,7 @@
     address: SocketAddr,
     schedule: &'a PollSchedule,
     queue: &'a DecisionQueue,
+    metrics: &'a Metrics,
     rng: &'a mut ChaCha8Rng,
     state: WatchState,
     /// The connection of the last poll, if it can be reused.
@@ -204,6 +209,9 @@
     }
 
     async fn handle_failure(&mut self, error: &PollError, connected: bool) {
+        if error.is_list_too_long() {
+            self.metrics.record_list_too_long();
+        }
         // Logged once per outage, since polls may fail several times a second.
         if self.state.record_unavailable() {
             tracing::warn!(address = %self.address, %error, "discovery unavailable");
--- a/crates/larklink-proxy/src/discovery/http.rs
+++ b/crates/larklink-proxy/src/discovery/http.rs
@@ -9,8 +9,15 @@
 
 const MAX_HEAD_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 32;
-/// Enough for a list of some 4,000 endpoints, or of 2,000 in indented JSON.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// The most endpoints of a fleet.
+const MAX_ENDPOINTS: usize = 3_200;
+/// More than twice an entry in its widest form: ten lines indented by 8 spaces a level, a name of 64 bytes, an IPv6
+/// address, and names and numbers of 32 and 20 bytes.
+const MAX_ENTRY_BYTES: usize = 1_280;
+/// The longest body, without its encoding.
+pub const MAX_BODY_BYTES: usize = MAX_ENDPOINTS * MAX_ENTRY_BYTES;
+/// The longest body in chunked encoding. Tiny chunks take several times the bytes of their content.
+const MAX_ENCODED_BYTES: usize = 2 * MAX_BODY_BYTES;
 const CRLF_BYTES: usize = 2;
 
 /// Why a response cannot be used.
@@ -32,8 +39,13 @@
     #[error("invalid Content-Length: {0}")]
     InvalidLength(ParseIntError),
     /// The body exceeds the size limit.
-    #[error("response body over {MAX_BODY_BYTES} bytes")]
-    BodyTooLong,
+    #[error("response body of {length} bytes or more, limit {limit}")]
+    BodyTooLong {
+        /// Its length as far as it is known.
+        length: usize,
+        /// The limit, in bytes.
+        limit: usize,
+    },
     /// A chunk does not begin with a valid size.
     #[error("invalid chunk size")]
     InvalidChunkSize,
@@ -73,6 +85,8 @@
 }
 
 struct ChunkedBody {
+    /// Where the body begins in the buffer.
+    start: usize,
     /// The position of the next chunk in the buffer.
     next_chunk: usize,
     /// The content of all chunks before that position.
@@ -132,12 +146,12 @@
     fn new(head: &httparse::Response<'_, '_>, start: usize) -> Result<Self, ResponseError> {
         let encoding = header(head, "transfer-encoding");
         if encoding.is_some_and(|value| value.eq_ignore_ascii_case("chunked")) {
-            return Ok(Self::Chunked(ChunkedBody { next_chunk: start, content: Vec::new() }));
+            return Ok(Self::Chunked(ChunkedBody { start, next_chunk: start, content: Vec::new() }));
         }
         let length = header(head, "content-length").ok_or(ResponseError::MissingLength)?;
         let length: usize = length.parse().map_err(ResponseError::InvalidLength)?;
         if length > MAX_BODY_BYTES {
-            return Err(ResponseError::BodyTooLong);
+            return Err(ResponseError::BodyTooLong { length, limit: MAX_BODY_BYTES });
         }
         Ok(Self::Plain(start..start + length))
     }
@@ -153,8 +167,13 @@
                 Err(_) => return Err(ResponseError::InvalidChunkSize),
             };
             let size = usize::try_from(size).unwrap_or(usize::MAX);
-            if size > MAX_BODY_BYTES.saturating_sub(self.content.len()) {
-                return Err(ResponseError::BodyTooLong);
+            let length = self.content.len().saturating_add(size);
+            if length > MAX_BODY_BYTES {
+                return Err(ResponseError::BodyTooLong { length, limit: MAX_BODY_BYTES });
+            }
+            let encoded_length = self.next_chunk - self.start;
+            if encoded_length > MAX_ENCODED_BYTES {
+                return Err(ResponseError::BodyTooLong { length: encoded_length, limit: MAX_ENCODED_BYTES });
             }
             let start = self.next_chunk + size_line_length;
             let end = start + size + CRLF_BYTES;
--- a/crates/larklink-proxy/src/discovery/poll.rs
+++ b/crates/larklink-proxy/src/discovery/poll.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use thiserror::Error;
 
 use crate::discovery::http::{Response, ResponseError, ResponseReader};
@@ -29,6 +29,11 @@
 }
 
 impl PollError {
+    /// Whether discovery responded with a longer list than is accepted.
+    pub(crate) fn is_list_too_long(&self) -> bool {
+        matches!(self, Self::Response(ResponseError::BodyTooLong { .. }))
+    }
+
     pub(crate) fn is_timeout(&self) -> bool {
         matches!(self, Self::Io(e) if e.kind() == ErrorKind::TimedOut)
     }
@@ -100,6 +105,8 @@
         if length == 0 {
             return Err(std::io::Error::from(ErrorKind::UnexpectedEof).into());
         }
+        // A service that sends at full speed must not starve other tasks.
+        future::yield_now().await;
         bytes.extend_from_slice(&chunk[..length]);
         progress.response_begun.set(true);
         if let Some(response) = reader.read(&bytes)? {
--- a/crates/larklink-proxy/src/handover/channel.rs
+++ b/crates/larklink-proxy/src/handover/channel.rs
@@ -16,10 +16,11 @@
 };
 
 use super::messages::{HandoverMessage, ProtocolError, parse_message};
+use crate::discovery::http::MAX_BODY_BYTES;
 use crate::timeout::with_timeout;
 
-/// The longest message, in bytes; the same limit as for an endpoint list from discovery.
-const MAX_MESSAGE_LENGTH: usize = 1 << 20;
+/// The longest message, in bytes; the same limit as for an endpoint list from discovery, which an offer contains.
+const MAX_MESSAGE_LENGTH: usize = MAX_BODY_BYTES;
 /// How long to wait for an expected message, or to send one. A process that hangs must not delay the start of another.
 pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The most file descriptors attached to one message.
--- a/crates/larklink-proxy/src/metrics/mod.rs
+++ b/crates/larklink-proxy/src/metrics/mod.rs
@@ -43,6 +43,7 @@
     sessions_in_progress: AtomicUsize,
     endpoints_listed: AtomicUsize,
     endpoints_avoided: AtomicUsize,
+    lists_too_long: AtomicUsize,
     is_ready: AtomicBool,
     rejections_without_attempt: AtomicUsize,
     /// The number of periods in which all sessions were rejected.
@@ -110,6 +111,11 @@
         self.attempts_sent.fetch_add(1, Relaxed);
     }
 
+    /// Records that discovery sent a longer endpoint list than is accepted, which was not applied.
+    pub fn record_list_too_long(&self) {
+        self.lists_too_long.fetch_add(1, Relaxed);
+    }
+
     /// Records the start of a session, which is in progress until the returned guard is dropped.
     pub fn session_started(self: &Arc<Self>) -> InProgress {
         self.sessions_in_progress.fetch_add(1, Relaxed);
@@ -149,6 +155,7 @@
         line("app.in_progress", &self.sessions_in_progress);
         line("app.known_servers", &self.endpoints_listed);
         line("app.skipped_servers", &self.endpoints_avoided);
+        line("larklink_discovery_lists_too_long_total", &self.lists_too_long);
         line("larklink_sessions_refused_without_dial_total", &self.rejections_without_attempt);
         line("larklink_refusing_all_periods_total", &self.rejecting_all_periods);
         text
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -86,7 +86,7 @@
     let cached_endpoints = std::mem::take(&mut config.cached_endpoints);
     let endpoints = initial_endpoints(cached_endpoints, predecessor.as_ref());
     let first_list = spawn_decisions(&config, endpoints, &queue, events, &limiter, &metrics, &executor);
-    spawn_discovery(&config, options.discovery_addresses, &queue, &executor);
+    spawn_discovery(&config, options.discovery_addresses, &queue, &metrics, &executor);
     // Dropping the guard closes the channel.
     let (accept_guard, accepting_stopped) = async_channel::bounded(1);
     let session_shutdown = Shutdown::new(shutdown.clone(), shutdown_grace(&config));
@@ -184,6 +184,7 @@
     config: &Config,
     addresses: Receiver<SocketAddr>,
     queue: &DecisionQueue,
+    metrics: &Arc<Metrics>,
     executor: &LocalExecutor<'static>,
 ) {
     let settings = &config.settings.balancer;
@@ -191,7 +192,8 @@
         PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery)
             .with_proxies(settings.proxy_count);
     let rng = new_rng(config.seed, DISCOVERY_RNG_STREAM);
-    let follow = discovery::follow(config.discovery, addresses, schedule, queue.clone(), rng);
+    let follow =
+        discovery::follow(config.discovery, addresses, schedule, queue.clone(), Arc::clone(metrics), rng);
     executor.spawn(follow).detach();
 }
 
--- a/crates/larklink-proxy/tests/endpoint_list_updates.rs
+++ b/crates/larklink-proxy/tests/endpoint_list_updates.rs
@@ -2,11 +2,15 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
+use serde_json::Serializer;
+use serde_json::ser::PrettyFormatter;
+
 mod harness;
 use harness::peer::{Peer, open_line};
 use harness::{
-    endpoint, establish, establish_with, list, listen, receive_request, refusing_address, respond, start,
-    wait_for_metrics, wait_for_shared_metrics, wait_until,
+    endpoint, establish, establish_with, list, listen, metric, non_empty_first_lines, receive_request,
+    refusing_address, respond, start, wait_for_metrics, wait_for_shared_metrics, wait_until,
 };
 
 #[test]
@@ -142,6 +146,49 @@
     }
 }
 
+/// A complete list of endpoints in the widest form that is allowed for: long names, and levels indented by 8 spaces.
+fn widest_list(index: u64, first: &str, count: usize) -> String {
+    let entry = |number: usize| {
+        format!(
+            r#"{{"name":"s-{number:062}","address":"[1000:2000:3000:4000:5000:6000:7000:8000]:65535","zone":"{0}",
+                "type":"{0}","group":65535,"status":"up","weight":0.1234567890123456,"since_ms":1796122544461}}"#,
+            "z".repeat(32)
+        )
+    };
+    let mut endpoints = vec![first.to_owned()];
+    endpoints.extend((1..count).map(entry));
+    let compact: serde_json::Value =
+        serde_json::from_str(&list(index, true, &endpoints)).expect("valid JSON");
+    let mut indented = Vec::new();
+    let formatter = PrettyFormatter::with_indent(b"        ");
+    compact.serialize(&mut Serializer::with_formatter(&mut indented, formatter)).expect("valid JSON");
+    String::from_utf8(indented).expect("UTF-8")
+}
+
+/// Guards against a large fleet whose list is refused for good for its length: drains were never learned. A list that is
+/// too long all the same is counted, and the last one stays in use.
+#[test]
+fn the_list_of_the_largest_fleet_is_applied_in_its_widest_form() {
+    let ((listener, at), (agent, discovery)) = (listen(), listen());
+    let proxy = start(&[at], discovery, "proxy", 1024);
+    let mut poll = Peer::accept(&agent);
+    receive_request(&mut poll);
+    let widest = widest_list(41, &endpoint("s-0", at, "draining"), 3_200);
+    assert!(widest.len() > 1 << 20, "{} bytes", widest.len());
+    respond(&mut poll, &widest);
+    wait_until(|| metric(&proxy, "app.known_servers") == 3_200);
+    // The only endpoint that could accept a session is draining.
+    assert_ne!(Peer::connect(proxy.address, &open_line("c=pay,d=300")).receive_line(), "UP 5\r\n");
+    assert_eq!(non_empty_first_lines(&listener), [""; 0]);
+    assert!(receive_request(&mut poll).contains("after=41"));
+    let too_long = widest_list(42, &endpoint("s-0", at, "up"), 9_600);
+    // The proxy may close the connection before all is sent.
+    let _ =
+        write!(poll.0.get_mut(), "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{too_long}", too_long.len());
+    wait_until(|| metric(&proxy, "larklink_discovery_lists_too_long_total") == 1);
+    assert_eq!(metric(&proxy, "app.known_servers"), 3_200);
+}
+
 /// Guards against sessions from before the start being answered `ERR` at once, because the cached list that the process
 /// starts with lacks their endpoint, or has an old address of it, while discovery is down.
 #[test]
--- a/crates/larklink-proxy/tests/metrics.rs
+++ b/crates/larklink-proxy/tests/metrics.rs
@@ -20,6 +20,7 @@
     metrics.record_answer(7, FinalAnswer::Failed);
     metrics.record_attempt_sent();
     metrics.set_endpoints(5, 2);
+    metrics.record_list_too_long();
     let (ended, in_progress) = (metrics.session_started(), metrics.session_started());
     drop(ended);
     assert_eq!(
@@ -27,6 +28,7 @@
         "app.handled.chat.passed=1\napp.handled.chat.dropped=0\napp.handled.chat.bad_gateway=0\n\
          app.handled.pay.passed=0\napp.handled.pay.dropped=1\napp.handled.pay.bad_gateway=1\n\
          app.upstream_tries=1\napp.in_progress=1\napp.known_servers=5\napp.skipped_servers=2\n\
+         larklink_discovery_lists_too_long_total=1\n\
          larklink_sessions_refused_without_dial_total=0\nlarklink_refusing_all_periods_total=0\n"
     );
     drop(in_progress);
