Forget endpoints that were removed long ago and that no session uses

Cause: balancer, engine and decision task kept each endpoint for good, and each maintenance run goes through all of them. Change: beyond 1,024 removed endpoints, or as many as are listed, those removed a minute ago and used by no session are forgotten, and their indices assigned anew.

--- a/crates/larklink-adapter/src/proxies.rs
+++ b/crates/larklink-adapter/src/proxies.rs
@@ -97,7 +97,9 @@
         let engine = &mut self.engine;
         match Event::decode(batch, event, |listener| engine.has_listener(listener))? {
             Event::DiscoveryFailed => engine.discovery_failed(now),
-            Event::EndpointList { scope, entries } => engine.update_endpoints(now, scope, entries),
+            Event::EndpointList { scope, entries } => {
+                engine.update_endpoints(now, scope, entries);
+            }
             Event::SessionOpened { session, request } => {
                 return Ok(engine.open_session(now, session, request));
             }
--- a/crates/larklink-balancer/src/balancer.rs
+++ b/crates/larklink-balancer/src/balancer.rs
@@ -86,6 +86,15 @@
         self.list_changed = true;
     }
 
+    /// Forgets what is known of endpoints that were removed from the list at least a minute ago and that no
+    /// session uses, if there are many of them. Returns their indices, which may be assigned to other endpoints.
+    pub fn forget_removed_endpoints(&mut self, now: Timestamp) -> Vec<EndpointIndex> {
+        if !self.endpoints.has_excess_removed() {
+            return Vec::new();
+        }
+        self.endpoints.forget_removed(now, &self.sessions.endpoints_in_use())
+    }
+
     /// Reports that a poll of the endpoint list failed or the subscription to it broke.
     pub fn discovery_failed(&mut self, now: Timestamp) {
         self.discovery.record_failure(now, &mut self.rng);
--- a/crates/larklink-balancer/src/endpoint.rs
+++ b/crates/larklink-balancer/src/endpoint.rs
@@ -15,6 +15,10 @@
 
 /// New sessions may be sent to a draining endpoint for the drain grace divided by this divisor.
 const DRAIN_GRACE_DIVISOR: u64 = 2;
+/// Removed endpoints that are remembered in any case; in a larger fleet, as many as are listed.
+const MIN_REMEMBERED_ENDPOINTS: usize = 1_024;
+/// How long a removed endpoint is remembered at least. Longer than any health check of it.
+const MIN_REMEMBERED_FOR: TickDuration = TickDuration::from_secs(60);
 
 /// An endpoint and everything this proxy knows about it.
 #[derive(Clone, Debug)]
@@ -30,6 +34,8 @@
     pub(crate) health_check: HealthCheckState,
     pub(crate) load: EndpointLoad,
     pub(crate) slow_start: SlowStartQuota,
+    /// Whether the index belongs to no endpoint, because it was forgotten or is not assigned yet.
+    is_vacant: bool,
 }
 
 impl Endpoint {
@@ -44,6 +50,7 @@
             health_check: HealthCheckState::new(),
             load: EndpointLoad::new(),
             slow_start: SlowStartQuota::new(),
+            is_vacant: true,
         }
     }
 
@@ -79,6 +86,16 @@
         self.entry.state == EndpointState::Ready
     }
 
+    fn is_removed(&self) -> bool {
+        !self.is_vacant && self.entry.state == EndpointState::Removed
+    }
+
+    /// Returns whether the endpoint may be forgotten, unless a session uses it.
+    fn is_forgettable(&self, now: Timestamp) -> bool {
+        let removed_at = self.closing_notified_at.unwrap_or(Timestamp::ZERO);
+        self.is_removed() && now >= removed_at + MIN_REMEMBERED_FOR
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.entry.state == EndpointState::Draining
     }
@@ -160,7 +177,34 @@
         if self.endpoints.len() <= index.0 {
             self.endpoints.resize_with(index.0 + 1, Endpoint::unlisted);
         }
-        &mut self.endpoints[index.0]
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.is_vacant = false;
+        endpoint
+    }
+
+    /// Returns whether more removed endpoints are known than need to be remembered.
+    pub(crate) fn has_excess_removed(&self) -> bool {
+        let removed = self.iter().filter(|endpoint| endpoint.is_removed()).count();
+        let listed = self.iter().filter(|endpoint| endpoint.entry.state != EndpointState::Removed).count();
+        removed > listed.max(MIN_REMEMBERED_ENDPOINTS)
+    }
+
+    /// Forgets the endpoints that were removed long enough ago, except those in use. Returns their indices, which may
+    /// be assigned to other endpoints.
+    pub(crate) fn forget_removed(
+        &mut self,
+        now: Timestamp,
+        in_use: &BTreeSet<EndpointIndex>,
+    ) -> Vec<EndpointIndex> {
+        let mut forgotten = Vec::new();
+        for (position, endpoint) in self.endpoints.iter_mut().enumerate() {
+            let index = EndpointIndex(position);
+            if endpoint.is_forgettable(now) && !in_use.contains(&index) {
+                *endpoint = Endpoint::unlisted();
+                forgotten.push(index);
+            }
+        }
+        forgotten
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> + Clone {
--- a/crates/larklink-balancer/src/session.rs
+++ b/crates/larklink-balancer/src/session.rs
@@ -1,5 +1,6 @@
 //! The sessions of a proxy and their state machine.
 
+use std::collections::BTreeSet;
 use std::ops::{Index, IndexMut};
 
 use slab::Slab;
@@ -229,6 +230,14 @@
         self.sessions.iter().map(|(number, session)| (SessionHandle(number), session))
     }
 
+    /// Returns the endpoints that sessions refer to.
+    pub(crate) fn endpoints_in_use(&self) -> BTreeSet<EndpointIndex> {
+        let endpoints = |(_, session): (SessionHandle, &Session)| {
+            std::iter::once(session.endpoint).chain(session.possible_run.map(|run| run.endpoint))
+        };
+        self.iter().flat_map(endpoints).collect()
+    }
+
     /// Returns the sessions that have an attempt in flight.
     pub(crate) fn connecting(&self) -> impl Iterator<Item = (SessionHandle, &Session)> {
         self.iter().filter(|(_, session)| session.state == SessionState::Connecting)
--- a/crates/larklink-engine/src/engine.rs
+++ b/crates/larklink-engine/src/engine.rs
@@ -91,6 +91,8 @@
     in_flight_position: Option<usize>,
     endpoints: HashMap<EndpointId, EndpointIndex>,
     endpoint_ids: Vec<EndpointId>,
+    /// The indices of forgotten endpoints, to be assigned to new ones.
+    free_indices: Vec<EndpointIndex>,
     sessions: HashMap<SessionId, OpenSession>,
     session_ids: HashMap<SessionHandle, SessionId>,
 }
@@ -105,6 +107,7 @@
             in_flight_position: settings.in_flight_position,
             endpoints: HashMap::new(),
             endpoint_ids: Vec::new(),
+            free_indices: Vec::new(),
             sessions: HashMap::new(),
             session_ids: HashMap::new(),
         }
@@ -116,12 +119,25 @@
         listener < self.listener_count
     }
 
-    /// Applies an endpoint list or its changes. The engine sets the index in each entry.
-    pub fn update_endpoints(&mut self, now: Timestamp, scope: ListScope, mut entries: Vec<EndpointEntry>) {
+    /// Applies an endpoint list or its changes. The engine sets the index in each entry. Returns the endpoints that are
+    /// forgotten, since they were removed long ago and no session uses them.
+    pub fn update_endpoints(
+        &mut self,
+        now: Timestamp,
+        scope: ListScope,
+        mut entries: Vec<EndpointEntry>,
+    ) -> Vec<EndpointId> {
         for entry in &mut entries {
             entry.index = self.endpoint_index(entry.id);
         }
         self.balancer.update_endpoints(now, scope, &entries);
+        let forgotten = self.balancer.forget_removed_endpoints(now);
+        let ids: Vec<_> = forgotten.iter().map(|index| self.endpoint_ids[index.0]).collect();
+        for id in &ids {
+            self.endpoints.remove(id);
+        }
+        self.free_indices.extend(forgotten);
+        ids
     }
 
     /// Reports that a poll of the endpoint list failed or the subscription to it broke.
@@ -307,9 +323,15 @@
     }
 
     fn endpoint_index(&mut self, id: EndpointId) -> EndpointIndex {
-        *self.endpoints.entry(id).or_insert_with(|| {
-            self.endpoint_ids.push(id);
-            EndpointIndex(self.endpoint_ids.len() - 1)
+        *self.endpoints.entry(id).or_insert_with(|| match self.free_indices.pop() {
+            Some(index) => {
+                self.endpoint_ids[index.0] = id;
+                index
+            }
+            None => {
+                self.endpoint_ids.push(id);
+                EndpointIndex(self.endpoint_ids.len() - 1)
+            }
         })
     }
 }
--- a/crates/larklink-proxy/src/decision_task.rs
+++ b/crates/larklink-proxy/src/decision_task.rs
@@ -36,7 +36,7 @@
     zones: Vec<String>,
     /// `None` if message latency is not reported.
     message_latency: Option<LatencyEstimator>,
-    /// The last known address of every endpoint that has ever been listed.
+    /// The last known address of every endpoint that the engine knows.
     addresses: HashMap<EndpointId, SocketAddr>,
     /// The current endpoint list.
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -222,7 +222,16 @@
         }
         self.health_checker.update_endpoints(&self.endpoints);
         let entries = endpoints.iter().map(|endpoint| endpoint.to_entry(&self.zones)).collect();
-        self.engine.update_endpoints(now, scope, entries);
+        for endpoint in self.engine.update_endpoints(now, scope, entries) {
+            self.forget_endpoint(endpoint);
+        }
+    }
+
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
+        self.addresses.remove(&endpoint);
+        if let Some(estimator) = &mut self.message_latency {
+            estimator.forget(endpoint);
+        }
     }
 
     fn update_endpoint(&mut self, endpoint: &Endpoint) {
--- a/crates/larklink-proxy/src/upstream/message_latency.rs
+++ b/crates/larklink-proxy/src/upstream/message_latency.rs
@@ -36,6 +36,11 @@
         Self { threshold: message_objective / REPORT_THRESHOLD_DIVISOR, endpoints: HashMap::new() }
     }
 
+    /// Forgets an endpoint.
+    pub fn forget(&mut self, endpoint: EndpointId) {
+        self.endpoints.remove(&endpoint);
+    }
+
     /// Records that an endpoint answered a message after `latency`. Returns the mean latency to report, if any.
     pub fn record_answer(
         &mut self,
