Sessions handed over to an ending process are resumed and handed on

Cause: proxy::run stopped reading handed-over sessions when it stopped accepting connections; its predecessor took them for handed over. Change: they are read until the process exits, which it does early only once its predecessor has exited.

--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -133,7 +133,9 @@
     if let Some(server) = handover_server {
         server.close_listener();
     }
-    drain_sessions(&context).await;
+    // The predecessor may still be ending, and hand over sessions that it establishes meanwhile.
+    let resume = async { match resume_sessions(&context, &handed_over_sessions, &executor).await {} };
+    resume.or(drain_sessions(&context, &handed_over_sessions)).await;
     Ok(())
 }
 
@@ -299,12 +301,13 @@
     }
 }
 
-/// Waits until all connections have ended or the deadline has passed. In pass-through mode clients are not migrated:
+/// Waits until all connections have ended and the predecessor has exited, or the deadline has passed. In pass-through mode clients are not migrated:
 /// sessions are relayed until the deadline, while the load balancer in front moves their connections to other proxies.
-async fn drain_sessions(context: &Rc<SessionContext>) {
+async fn drain_sessions(context: &Rc<SessionContext>, handed_over: &Receiver<HandedOverSession>) {
     let deadline = context.shutdown.deadline();
-    // Each connection's task holds a reference to the context.
-    while Rc::strong_count(context) > 1 && Instant::now() < deadline {
+    // Each connection's task holds a reference to the context, and the connection to the predecessor holds the sender.
+    let has_more = || Rc::strong_count(context) > 1 || !handed_over.is_closed();
+    while has_more() && Instant::now() < deadline {
         Timer::after(SESSIONS_POLL_INTERVAL).await;
     }
 }
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -697,6 +697,37 @@
     assert_eq!(predecessor.join().unwrap(), HandoverMessage::TakeOver);
 }
 
+/// Guards against a session that is cut off: one that was handed over to a process which was itself ending was not
+/// resumed there, and reset at its exit.
+#[test]
+fn a_session_that_is_handed_over_to_an_ending_process_is_handed_on() {
+    let server = echo_server();
+    let proxy = Proxy::new("chain", "proxy", server, discovery_service(server));
+    let first = proxy.start().wait_until_ready();
+    let mut client = connect(&proxy);
+    let second = proxy.start();
+    while !second.is_ready() {
+        client.send("PING\r\n");
+        assert_eq!(client.receive_line(), "PONG\r\n");
+    }
+    let line = open_line("c=chat,t=acme,d=5000,g=3");
+    let (begin, rest) = line.split_at(10);
+    client.send(begin);
+    // Keeps the second process from exiting early.
+    let mut of_second = connect(&proxy);
+    of_second.send(begin);
+    first.signal(Signal::TERM);
+    let _third = proxy.start().wait_until_ready();
+    second.signal(Signal::TERM);
+    second.wait_for_log("no more connections accepted");
+    client.send(rest);
+    assert_eq!(client.receive_line(), "UP 1\r\n");
+    assert_eq!(client.receive_line(), "LOAD 40\r\n");
+    first.wait_for_exit();
+    second.wait_for_exit();
+    expect_echo(&mut client);
+}
+
 /// Two processes together never have more descriptors open than the limit; what one releases, the other may use.
 #[test]
 fn the_descriptors_of_both_processes_count() {
