Testbed: the planted retry of a failed session goes past the proxy

Since the ids of sessions that may have run are refused, the proxy keeps the rule that the planted fault is to break. Change: the relay retries at a server directly, as those of three other planted faults do. What the audit has to find is the same (MayRunTwice).

--- a/crates/larklink-testbed/src/faulty_relay.rs
+++ b/crates/larklink-testbed/src/faulty_relay.rs
@@ -41,7 +41,7 @@
     MakesConcurrentAttempts,
     /// Makes attempts at a draining server.
     MakesAttemptsToDraining,
-    /// Retries failed sessions that may run only once.
+    /// Retries failed sessions that may run only once, at a server directly.
     RetriesFailed,
     /// Cuts off one established session in 20 without `MOVE`.
     CutsEstablished,
@@ -133,10 +133,12 @@
             self.second_attempt(&text).await?;
         }
         let Some(response) = first_response(&mut proxy, &mut client).await? else { return Ok(()) };
-        if self.makes_forbidden_retry(&first_line, &response) {
-            proxy = LineStream::connect(self.proxy).await?;
-            proxy.write(&text).await?;
-            return relay_lines(client, proxy, None).await;
+        // Past the proxy, which refuses the id of a session that may have run.
+        if self.makes_forbidden_retry(&first_line, &response)
+            && let Some(server) = self.server(|state, _| state == ServerState::Up)
+            && let Some(stream) = connect_directly(server, &text, &client).await?
+        {
+            return relay_lines(client, stream, None).await;
         }
         self.respond(client, proxy, &with_crlf(&response)).await
     }
