A process that is stopped before its predecessor exits early again

Seen, on reading the change again: since an ending process waits for sessions of its predecessor, one that is stopped first stays for its whole grace period, and nobody accepts connections meanwhile. Cause: it waited for any predecessor, also one that was not asked to stop and so hands nothing over. Change: it waits only after the predecessor has said that it stops.

--- a/crates/larklink-proxy/src/handover/mod.rs
+++ b/crates/larklink-proxy/src/handover/mod.rs
@@ -19,6 +19,7 @@
 pub mod predecessor;
 pub(crate) mod successor;
 
+use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +55,8 @@
     pub(crate) queue: DecisionQueue,
     /// Sends each change of whether this process accepts connections.
     pub(crate) accepting_sender: Sender<bool>,
+    /// Whether the predecessor was asked to stop: only then does it hand sessions over.
+    pub(crate) predecessor_stopping: Cell<bool>,
 }
 
 impl HandoverContext {
--- a/crates/larklink-proxy/src/handover/predecessor.rs
+++ b/crates/larklink-proxy/src/handover/predecessor.rs
@@ -84,7 +84,8 @@
     ) -> Self {
         let stops_or_exits = async {
             // Before the takeover request, `Stopping` is the only message that it sends.
-            let _ = self.reader.receive().await;
+            let message = self.reader.receive().await;
+            context.predecessor_stopping.set(matches!(message, Ok(HandoverMessage::Stopping)));
         };
         ready.or(stops_or_exits).await;
         let rival_deadline = Instant::now() + RIVAL_TIMEOUT;
@@ -97,7 +98,10 @@
                 }
                 // The rival becomes the predecessor once it accepts handover connections.
                 Ok(false) => match connect(&context.socket_path).await {
-                    Ok(Some(offer)) => self = offer.predecessor,
+                    Ok(Some(offer)) => {
+                        context.predecessor_stopping.set(false);
+                        self = offer.predecessor;
+                    }
                     _ => _ = Timer::after(POLL_INTERVAL).await,
                 },
                 Err(error) => {
@@ -126,6 +130,7 @@
                     HandoverMessage::Granted { descriptors_in_use } => break Ok(Some(descriptors_in_use)),
                     HandoverMessage::AlreadyTaken => break Ok(None),
                     HandoverMessage::SessionIds(changes) => self.apply_session_ids(changes),
+                    HandoverMessage::Stopping => context.predecessor_stopping.set(true),
                     _ => {}
                 }
             }
@@ -168,6 +173,7 @@
                     context.limiter.set_other_process_use(descriptors_in_use);
                 }
                 HandoverMessage::SessionIds(changes) => self.apply_session_ids(changes),
+                HandoverMessage::Stopping => context.predecessor_stopping.set(true),
                 HandoverMessage::Session(session) => return self.adopt(session, context),
                 _ => {}
             }
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -1,4 +1,5 @@
 //! Starts the tasks of a proxy and shuts it down gracefully.
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::Result;
 use std::net::{SocketAddr, TcpListener};
@@ -103,6 +104,7 @@
             sessions: Rc::clone(&context.sessions),
             queue,
             accepting_sender,
+            predecessor_stopping: Cell::default(),
         });
         let successor = Rc::clone(&context.successor);
         let server =
@@ -110,6 +112,7 @@
         Handover { context: handover_context, server: Rc::new(server), predecessor, handed_over }
     });
     let handover_server = handover.as_ref().map(|handover| Rc::clone(&handover.server));
+    let handover_context = handover.as_ref().map(|handover| Rc::clone(&handover.context));
 
     let acceptor = Acceptor::new(listener, &context, &executor);
     // Only `stop` resolves; the others run until then.
@@ -135,7 +138,8 @@
     }
     // The predecessor may still be ending, and hand over sessions that it establishes meanwhile.
     let resume = async { match resume_sessions(&context, &handed_over_sessions, &executor).await {} };
-    resume.or(drain_sessions(&context, &handed_over_sessions)).await;
+    let may_receive = || may_receive_sessions(handover_context.as_deref(), &handed_over_sessions);
+    resume.or(drain_sessions(&context, may_receive)).await;
     Ok(())
 }
 
@@ -301,12 +305,21 @@
     }
 }
 
-/// Waits until all connections have ended and the predecessor has exited, or the deadline has passed. In pass-through mode clients are not migrated:
+/// Whether the predecessor may still hand sessions over.
+fn may_receive_sessions(
+    handover: Option<&HandoverContext>,
+    handed_over: &Receiver<HandedOverSession>,
+) -> bool {
+    // The connection to the predecessor holds the sender.
+    handover.is_some_and(|handover| handover.predecessor_stopping.get()) && !handed_over.is_closed()
+}
+
+/// Waits until all connections have ended and no more can be handed over, or the deadline has passed. In pass-through mode clients are not migrated:
 /// sessions are relayed until the deadline, while the load balancer in front moves their connections to other proxies.
-async fn drain_sessions(context: &Rc<SessionContext>, handed_over: &Receiver<HandedOverSession>) {
+async fn drain_sessions(context: &Rc<SessionContext>, may_receive_sessions: impl Fn() -> bool) {
     let deadline = context.shutdown.deadline();
-    // Each connection's task holds a reference to the context, and the connection to the predecessor holds the sender.
-    let has_more = || Rc::strong_count(context) > 1 || !handed_over.is_closed();
+    // Each connection's task holds a reference to the context.
+    let has_more = || Rc::strong_count(context) > 1 || may_receive_sessions();
     while has_more() && Instant::now() < deadline {
         Timer::after(SESSIONS_POLL_INTERVAL).await;
     }
--- a/crates/larklink-proxy/src/session/reconnect.rs
+++ b/crates/larklink-proxy/src/session/reconnect.rs
@@ -113,10 +113,7 @@
                 let attempt = Attempt { address, deadline, connect_timeout: *connect_timeout, metrics };
                 let mut slices = [IoSlice::new(request.line)];
                 match attempt.send(&mut slices, &is_client_waiting, &may_send).await {
-                    Ok(connection) => {
-                        request.session.record_attempt_ended(false);
-                        return Ok(connection);
-                    }
+                    Ok(connection) => return Ok(connection),
                     Err(outcome) => outcome,
                 }
             }
--- a/crates/larklink-proxy/tests/handover.rs
+++ b/crates/larklink-proxy/tests/handover.rs
@@ -728,6 +728,27 @@
     expect_echo(&mut client);
 }
 
+/// Guards against a proxy that nobody accepts connections for: a new process that was stopped before its predecessor
+/// stayed until its grace period was over, although it had no session and its predecessor would hand none over.
+#[test]
+fn a_process_that_is_stopped_before_its_predecessor_exits_early() {
+    /// 0.6 s for accepting and the longest dial timeout of the configuration.
+    const GRACE_PERIOD: Duration = Duration::from_millis(1100);
+    let server = echo_server();
+    let proxy = Proxy::new("early-exit", "proxy", server, discovery_service(server));
+    let old = proxy.start().wait_until_ready();
+    let mut client = establish(&proxy);
+    let new = proxy.start().wait_until_ready();
+    let stopped_at = Instant::now();
+    new.signal(Signal::TERM);
+    new.wait_for_exit();
+    let stayed = stopped_at.elapsed();
+    old.wait_for_log("successor lost, accepting connections again");
+    assert!(stayed < GRACE_PERIOD, "{stayed:?}");
+    expect_echo(&mut client);
+    expect_echo(&mut establish(&proxy));
+}
+
 /// Two processes together never have more descriptors open than the limit; what one releases, the other may use.
 #[test]
 fn the_descriptors_of_both_processes_count() {
