The return of a silent discovery agent is noticed within half the drain grace

Cause: the response timeout doubled after three polls that connected and timed out, up to 2 s, and only the poll after that learned what the agent has. A slow agent, for which it grew, and a silent one cannot be told apart by waiting. When a poll is due is a state machine without I/O (WatchState).

--- a/crates/larklink-proxy/src/discovery/mod.rs
+++ b/crates/larklink-proxy/src/discovery/mod.rs
@@ -1,9 +1,9 @@
 //! Keeps the endpoint list up to date by polling the discovery service.
 mod client;
 pub mod http;
-mod pending_polls;
+mod open_polls;
 mod poll;
 pub mod schedule;
-mod watch_state;
+pub mod watch_state;
 
-pub use client::follow;
+pub use client::{DiscoveryClient, follow};
--- a/crates/larklink-proxy/src/discovery/poll.rs
+++ b/crates/larklink-proxy/src/discovery/poll.rs
@@ -2,7 +2,6 @@
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
@@ -10,13 +9,19 @@
 
 use crate::discovery::http::{Response, ResponseError, ResponseReader};
 use crate::endpoint_list::EndpointList;
-use crate::timeout::with_timeout;
 
 const READ_BYTES: usize = 16 << 10;
 
 /// A connection to discovery.
 pub(crate) type DiscoveryConnection = Async<TcpStream>;
 
+/// A response with an endpoint list.
+pub(crate) struct PollResponse {
+    pub(crate) list: EndpointList,
+    /// The connection, if it can be reused.
+    pub(crate) connection: Option<DiscoveryConnection>,
+}
+
 /// Why a poll failed.
 #[derive(Debug, Error)]
 pub(crate) enum PollError {
@@ -37,24 +42,6 @@
     pub(crate) fn is_timeout(&self) -> bool {
         matches!(self, Self::Io(e) if e.kind() == ErrorKind::TimedOut)
     }
-
-    /// Whether discovery responded with something other than an endpoint list. A response that ends in the middle of
-    /// the JSON counts as a broken connection instead.
-    pub(crate) fn is_rejection(&self) -> bool {
-        match self {
-            Self::Io(e) => e.kind() == ErrorKind::InvalidData,
-            Self::Response(ResponseError::Body(e)) => !e.is_eof(),
-            Self::Response(_) => true,
-        }
-    }
-}
-
-/// Timeouts of the phases of a poll.
-pub(crate) struct PhaseTimeouts {
-    /// Connecting.
-    pub(crate) connect: Duration,
-    /// Receiving the response, from its first byte on.
-    pub(crate) response: Duration,
 }
 
 /// The progress of a poll, which the caller can read after cancelling the poll.
@@ -67,29 +54,24 @@
 /// Polls once. Returns the list, and the connection if it can be reused.
 ///
 /// # Errors
-/// No valid response arrived within the timeouts. The wait for the first byte has no timeout here; the caller has to
-/// limit it.
+/// No valid response arrived. There is no timeout here; the caller has to limit the whole poll.
 pub(crate) async fn poll(
     discovery: SocketAddr,
     reused: Option<DiscoveryConnection>,
     path: &str,
-    timeouts: &PhaseTimeouts,
     progress: &PollProgress,
-) -> Result<(EndpointList, Option<DiscoveryConnection>), PollError> {
+) -> Result<PollResponse, PollError> {
     let mut stream = match reused {
         Some(connection) => connection,
-        None => with_timeout(timeouts.connect, DiscoveryConnection::connect(discovery)).await?,
+        None => DiscoveryConnection::connect(discovery).await?,
     };
     progress.connected.set(true);
     let request = format!("GET {path} HTTP/1.1\r\nHost: {discovery}\r\nAccept: application/json\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
-    stream.readable().await?;
-    // Without this timeout a response that never ends would block all later updates.
-    let read = async { Ok(read_response(&mut stream, progress).await) };
-    let (response, received) = with_timeout(timeouts.response, read).await??;
+    let (response, received) = read_response(&mut stream, progress).await?;
     // With surplus bytes the connection is not reused: they would be parsed as the next response.
     let reusable = response.keep_alive && response.length == received;
-    Ok((response.list, reusable.then_some(stream)))
+    Ok(PollResponse { list: response.list, connection: reusable.then_some(stream) })
 }
 
 /// Reads a response. Returns it with the number of bytes received.
--- a/crates/larklink-proxy/src/discovery/watch_state.rs
+++ b/crates/larklink-proxy/src/discovery/watch_state.rs
@@ -1,146 +1,211 @@
-//! The state derived from previous polls: the known version of the list and the consecutive failures. Performs no I/O.
+//! The state of the polls of one discovery address: the known version of the list, the failures, and when the next poll
+//! is due. Time is an argument. Performs no I/O.
 use std::time::{Duration, Instant};
 
-use crate::discovery::poll::{PhaseTimeouts, PollError};
-use crate::discovery::schedule::{MIN_POLL_INTERVAL, PollSchedule};
-use crate::endpoint_list::EndpointList;
-
-/// The outcome of a poll.
-pub(crate) enum PollOutcome {
-    /// The reused connection had been closed by the server, which does not mean that discovery is unavailable.
-    ReusedConnectionClosed,
-    /// A complete list that is older than the known one. It is the late response to an earlier poll, and applying it
-    /// would make endpoints ready again that are draining now.
-    OutdatedList(EndpointList),
-    /// Changes relative to an unknown list. The complete list has to be polled.
-    UnknownChanges(EndpointList),
-    /// A complete list, or changes to the known one.
-    List(EndpointList),
-    /// The poll failed.
-    Failed(PollError),
+use rand_chacha::ChaCha8Rng;
+
+use crate::discovery::schedule::PollSchedule;
+
+/// What a poll asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollRequest {
+    /// The complete list.
+    CompleteList,
+    /// Changes to a version of the list, which discovery may wait for.
+    Changes {
+        /// The version.
+        after: u64,
+        /// How long discovery may wait for a change.
+        wait: Duration,
+    },
 }
 
-/// Counts of consecutive failures.
-#[derive(Clone, Copy, Default)]
-struct FailureCounts {
-    /// All failures.
-    failures: u32,
-    /// Polls that were rejected or got an invalid response.
-    rejections: u32,
-    /// Polls that connected and timed out.
-    timeouts: u32,
+impl PollRequest {
+    /// Returns the path of the HTTP request.
+    pub fn path(&self) -> String {
+        match self {
+            Self::CompleteList => "/api/targets".to_owned(),
+            Self::Changes { after, wait } => {
+                format!("/api/targets?after={after}&wait_ms={}", wait.as_millis())
+            }
+        }
+    }
+
+    /// Returns how long discovery may hold its response.
+    pub fn wait(&self) -> Duration {
+        match self {
+            Self::CompleteList => Duration::ZERO,
+            Self::Changes { wait, .. } => *wait,
+        }
+    }
+}
+
+/// A list that discovery sent, without its entries.
+#[derive(Clone, Copy, Debug)]
+pub struct ListHeader {
+    /// The version of the list.
+    pub index: u64,
+    /// Whether the list is complete; otherwise it has changes only.
+    pub complete: bool,
+}
+
+/// What to do with a list that discovery sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListUse {
+    /// It is a complete list, or has changes that can be applied to the list that the process has.
+    Apply,
+    /// It is complete, and older than the known one: the late response to an earlier poll. Applying it would make
+    /// endpoints ready again that are draining now.
+    Outdated,
+    /// It has changes to a list that the process does not have.
+    UnknownChanges,
+}
+
+/// The version of the list at this address.
+#[derive(Clone, Copy, Debug)]
+enum KnownVersion {
+    /// The complete list has to be polled.
+    Unknown,
+    Index(u64),
 }
 
 /// The state of the polls of one discovery address.
-pub(crate) struct WatchState {
-    /// The index of the known list; none if the complete list has to be polled.
-    index: Option<u64>,
-    counts: FailureCounts,
+#[derive(Debug)]
+pub struct WatchState {
+    schedule: PollSchedule,
+    version: KnownVersion,
+    /// Whether polls have failed since the last list.
+    failing: bool,
+    /// Consecutive polls that were not answered in time.
+    unanswered: u32,
+    next_poll_at: Instant,
     /// The start of the last poll that returned an outdated list.
     outdated_polled_at: Option<Instant>,
-    /// Whether polls have failed since the last response.
+    /// Whether discovery is known to be unavailable.
     unavailable: bool,
 }
 
-/// How the last poll failed, which determines the backoff.
-pub(crate) enum BackoffRule {
-    /// The poll was rejected or got an invalid response. Contains the number of such polls since the last list.
-    Rejected(u32),
-    /// The poll failed otherwise. Contains the number of all failed polls since the last list.
-    Failed(u32),
-}
-
 impl WatchState {
-    /// Creates a state without a known list, as if `failures` consecutive polls had failed.
-    pub(crate) fn new(failures: u32) -> Self {
+    /// Creates a state for an address that has not been polled yet.
+    pub fn new(schedule: PollSchedule, now: Instant) -> Self {
         Self {
-            index: None,
-            counts: FailureCounts { failures, ..FailureCounts::default() },
+            schedule,
+            version: KnownVersion::Unknown,
+            failing: false,
+            unanswered: 0,
+            next_poll_at: now,
             outdated_polled_at: None,
             unavailable: false,
         }
     }
 
-    /// Returns the request path of the next poll.
-    pub(crate) fn request_path(&self, schedule: &PollSchedule) -> String {
-        match self.index {
-            None => "/api/targets".to_owned(),
-            Some(index) => {
-                let wait_ms = schedule.long_poll_wait_after(self.counts.failures).as_millis();
-                format!("/api/targets?after={index}&wait_ms={wait_ms}")
-            }
-        }
+    /// Returns when the next poll is due, whether or not an earlier one is still open.
+    pub fn next_poll_at(&self) -> Instant {
+        self.next_poll_at
     }
 
-    /// Returns the phase timeouts of the next poll.
-    pub(crate) fn phase_timeouts(&self, schedule: &PollSchedule) -> PhaseTimeouts {
-        PhaseTimeouts {
-            connect: schedule.response_timeout,
-            response: schedule.response_timeout_after(self.counts.timeouts),
+    /// Starts the poll that is due, and schedules the next one in case it is not answered.
+    pub fn start_poll(&mut self, now: Instant, rng: &mut ChaCha8Rng) -> PollRequest {
+        let request = self.next_request();
+        let is_long_poll = matches!(self.version, KnownVersion::Index(_)) && !self.failing;
+        let interval = if is_long_poll {
+            self.schedule.long_poll_interval()
+        } else {
+            self.schedule.with_jitter(self.schedule.unanswered_interval(self.unanswered), rng)
+        };
+        self.next_poll_at = now + interval;
+        request
+    }
+
+    fn next_request(&self) -> PollRequest {
+        let probe_wait = self.schedule.probe_wait;
+        match self.version {
+            KnownVersion::Unknown => PollRequest::CompleteList,
+            KnownVersion::Index(after) => {
+                let wait = if self.failing { probe_wait } else { self.schedule.long_poll_wait };
+                PollRequest::Changes { after, wait }
+            }
         }
     }
 
-    /// Returns the timeout of the whole next poll. The first poll may take as long as a long poll, although it requests
-    /// the complete list: discovery may be as busy as the proxy while both are starting.
-    pub(crate) fn total_timeout(&self, schedule: &PollSchedule) -> Duration {
-        schedule.total_timeout(self.counts.failures, self.counts.timeouts)
+    /// Records that the last poll has not been answered before the next one is due.
+    pub fn record_unanswered(&mut self) {
+        self.failing = true;
+        self.unanswered = self.unanswered.saturating_add(1);
     }
 
-    /// Classifies the list that a poll returned.
-    pub(crate) fn classify(&self, list: EndpointList, on_reused_connection: bool) -> PollOutcome {
-        let outdated = self.index.is_some_and(|known| list.index < known);
-        if list.snapshot && outdated && on_reused_connection {
-            PollOutcome::OutdatedList(list)
-        } else if list.snapshot || self.index.is_some() && !outdated {
-            PollOutcome::List(list)
-        } else {
-            PollOutcome::UnknownChanges(list)
-        }
+    /// Records a failed poll. The next one is due after a pause, but no later than without this failure.
+    pub fn record_failure(&mut self, now: Instant, rng: &mut ChaCha8Rng) {
+        self.failing = true;
+        let pause = self.schedule.with_jitter(self.schedule.failure_interval, rng);
+        self.next_poll_at = self.next_poll_at.min(now + pause);
     }
 
-    /// Records that a poll started at `polled_at` found its reused connection closed. If that took long, it counts as a
-    /// failure, so that the next poll uses the short wait.
-    pub(crate) fn record_closed_connection(&mut self, polled_at: Instant) {
-        self.counts.failures += u32::from(polled_at.elapsed() >= MIN_POLL_INTERVAL);
+    /// Records that a poll found its reused connection closed, which does not mean that discovery is unavailable. If that
+    /// took long, it counts as a failure, so that the next poll uses the short wait.
+    pub fn record_closed_connection(&mut self, started_at: Instant, now: Instant) {
+        self.failing |= now - started_at >= self.schedule.min_poll_interval;
+        self.next_poll_at = now;
     }
 
-    /// Records an outdated list from a poll started at `polled_at`. Returns whether to wait before the next poll, which
-    /// is the case if the previous poll with an outdated list was started less than [`MIN_POLL_INTERVAL`] ago.
-    pub(crate) fn record_outdated_list(&mut self, polled_at: Instant) -> bool {
-        self.index = None;
-        self.record_closed_connection(polled_at);
-        let earlier = self.outdated_polled_at.replace(polled_at);
-        earlier.is_some_and(|at| at.elapsed() < MIN_POLL_INTERVAL)
+    /// Records a list that answers a poll started at `started_at`, and decides what to do with it.
+    pub fn record_list(
+        &mut self,
+        list: ListHeader,
+        on_reused_connection: bool,
+        started_at: Instant,
+        now: Instant,
+        rng: &mut ChaCha8Rng,
+    ) -> ListUse {
+        let verdict = self.classify(list, on_reused_connection);
+        match verdict {
+            ListUse::Apply => self.record_applied_list(list, started_at, now),
+            ListUse::Outdated => self.record_outdated_list(started_at, now),
+            ListUse::UnknownChanges => self.record_unknown_changes(now, rng),
+        }
+        verdict
     }
 
-    /// Records a response of discovery. Returns whether discovery was unavailable before.
-    pub(crate) fn record_response(&mut self) -> bool {
-        std::mem::take(&mut self.unavailable)
+    fn record_unknown_changes(&mut self, now: Instant, rng: &mut ChaCha8Rng) {
+        self.version = KnownVersion::Unknown;
+        self.record_failure(now, rng);
     }
 
-    /// Records changes relative to an unknown list.
-    pub(crate) fn record_unknown_changes(&mut self) -> BackoffRule {
-        self.index = None;
-        self.counts.failures += 1;
-        self.counts.rejections += 1;
-        BackoffRule::Rejected(self.counts.rejections)
+    fn classify(&self, list: ListHeader, on_reused_connection: bool) -> ListUse {
+        let outdated = matches!(self.version, KnownVersion::Index(known) if list.index < known);
+        let changes_apply = matches!(self.version, KnownVersion::Index(_)) && !outdated;
+        if list.complete && outdated && on_reused_connection {
+            ListUse::Outdated
+        } else if list.complete || changes_apply {
+            ListUse::Apply
+        } else {
+            ListUse::UnknownChanges
+        }
     }
 
-    /// Records a list. Returns whether its index differs from the known one.
-    pub(crate) fn record_list(&mut self, list: &EndpointList) -> bool {
-        self.counts = FailureCounts::default();
-        self.index.replace(list.index) != Some(list.index)
+    fn record_applied_list(&mut self, list: ListHeader, started_at: Instant, now: Instant) {
+        let is_new = !matches!(self.version, KnownVersion::Index(known) if known == list.index);
+        self.version = KnownVersion::Index(list.index);
+        self.failing = false;
+        self.unanswered = 0;
+        // A service that answers long polls at once must not be polled in a tight loop.
+        let earliest = if is_new { now } else { started_at + self.schedule.min_poll_interval };
+        self.next_poll_at = now.max(earliest);
     }
 
-    /// Records a failed poll; `connected` tells whether a connection had been established.
-    pub(crate) fn record_failure(&mut self, error: &PollError, connected: bool) -> BackoffRule {
-        self.counts.failures += 1;
-        self.counts.timeouts += u32::from(connected && error.is_timeout());
-        if !error.is_rejection() {
-            return BackoffRule::Failed(self.counts.failures);
+    /// The known version is forgotten, so the complete list is polled next.
+    fn record_outdated_list(&mut self, started_at: Instant, now: Instant) {
+        self.version = KnownVersion::Unknown;
+        self.record_closed_connection(started_at, now);
+        let earlier = self.outdated_polled_at.replace(started_at);
+        if earlier.is_some_and(|at| now - at < self.schedule.min_poll_interval) {
+            self.next_poll_at = now + self.schedule.min_poll_interval;
         }
-        self.counts.rejections += 1;
-        BackoffRule::Rejected(self.counts.rejections)
+    }
+
+    /// Records a response of discovery. Returns whether discovery was unavailable before.
+    pub(crate) fn record_available(&mut self) -> bool {
+        std::mem::take(&mut self.unavailable)
     }
 
     /// Records that discovery is unavailable. Returns whether it was available before.
--- a/crates/larklink-proxy/src/endpoint_list.rs
+++ b/crates/larklink-proxy/src/endpoint_list.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::discovery::watch_state::ListHeader;
+
 const TICKS_PER_MILLISECOND: f64 = 10.0;
 
 /// A complete endpoint list, or changes to one, as discovery sends it.
@@ -18,6 +20,13 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+impl EndpointList {
+    /// Returns what decides how the list is used.
+    pub(crate) fn header(&self) -> ListHeader {
+        ListHeader { index: self.index, complete: self.snapshot }
+    }
+}
+
 /// An entry of the endpoint list.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Endpoint {
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -20,7 +20,7 @@
 use crate::clock::to_duration;
 use crate::config::{CachedEndpoints, Config};
 use crate::decision_task::DecisionTask;
-use crate::discovery::{self, schedule::PollSchedule};
+use crate::discovery::{self, DiscoveryClient, schedule::PollSchedule};
 use crate::endpoint_list::Endpoint;
 use crate::events::{self, DecisionEvent, DecisionQueue};
 use crate::handover::HandoverContext;
@@ -86,6 +86,7 @@
     let limiter = new_limiter(&config);
     let cached_endpoints = std::mem::take(&mut config.cached_endpoints);
     let endpoints = initial_endpoints(cached_endpoints, predecessor.as_ref());
+
     let first_list = spawn_decisions(&config, endpoints, &queue, events, &limiter, &metrics, &executor);
     spawn_discovery(&config, options.discovery_addresses, &queue, &metrics, &executor);
     // Dropping the guard closes the channel.
@@ -198,9 +199,8 @@
         PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery)
             .with_proxies(settings.proxy_count);
     let rng = new_rng(config.seed, DISCOVERY_RNG_STREAM);
-    let follow =
-        discovery::follow(config.discovery, addresses, schedule, queue.clone(), Arc::clone(metrics), rng);
-    executor.spawn(follow).detach();
+    let client = DiscoveryClient { schedule, queue: queue.clone(), metrics: Arc::clone(metrics), rng };
+    executor.spawn(discovery::follow(client, config.discovery, addresses)).detach();
 }
 
 fn new_rng(seed: u64, stream: u64) -> ChaCha8Rng {
