A proxy takes one turn of a crowded list service for its list and its watch

Cause: a turn at the service is what is scarce, and a proxy took two: one for the list, and one for the watch after it, at once and before proxies that had no list. Change: the first poll at an address of a shared service is a watch after version 0. Changes are applied to the list that the process has, and the complete list is polled beside the watch 9 s later; a process without a list polls it next. The polls in progress are a type without I/O (OpenPolls).

--- a/crates/larklink-proxy/src/discovery/client.rs
+++ b/crates/larklink-proxy/src/discovery/client.rs
@@ -12,8 +12,9 @@
 use larklink_balancer::ListScope;
 use rand_chacha::ChaCha8Rng;
 
-use crate::discovery::open_polls::{EndedPoll, OpenPoll, OpenPolls};
+use crate::discovery::open_polls::OpenPolls;
 use crate::discovery::poll::{DiscoveryConnection, PollError, PollProgress, PollResponse, poll};
+use crate::discovery::poll_task::{EndedPoll, PollTask};
 use crate::discovery::schedule::{POLL_TIMEOUT, PollSchedule};
 use crate::discovery::watch_state::{ListUse, PollRequest, WatchState};
 use crate::endpoint_list::EndpointList;
@@ -25,6 +26,8 @@
 pub struct DiscoveryClient {
     /// The timing of polls.
     pub schedule: PollSchedule,
+    /// Whether the process has a list from before its start.
+    pub has_list: bool,
     /// Where lists are sent.
     pub queue: DecisionQueue,
     /// The metrics of the process.
@@ -50,6 +53,7 @@
         };
         // A new address cancels the polls and pauses that are in progress.
         address = new_address.or(async { match watch.run().await {} }).await;
+        client.has_list = watch.state.has_list();
     }
 }
 
@@ -60,39 +64,66 @@
     state: WatchState,
     /// The connection of the last answered poll, if it can be reused.
     idle_connection: Option<DiscoveryConnection>,
-    open_polls: OpenPolls,
+    open_polls: OpenPolls<PollTask>,
+    /// The poll of the complete list beside the watch.
+    complete_list_poll: Option<PollTask>,
 }
 
 /// What happens next at an address.
 enum WatchEvent {
     /// The next poll is due.
     PollDue,
+    /// The complete list is to be polled beside the watch.
+    CompleteListDue,
     /// A poll has ended.
     Ended(EndedPoll),
+    /// The poll of the complete list beside the watch has ended.
+    CompleteListEnded(Result<PollResponse, PollError>),
 }
 
 impl<'a> Watch<'a> {
     fn new(client: &'a mut DiscoveryClient, address: SocketAddr) -> Self {
-        let state = WatchState::new(client.schedule, Instant::now());
-        Self { client, address, state, idle_connection: None, open_polls: OpenPolls::default() }
+        let state = WatchState::new(client.schedule, client.has_list, Instant::now());
+        Self {
+            client,
+            address,
+            state,
+            idle_connection: None,
+            open_polls: OpenPolls::default(),
+            complete_list_poll: None,
+        }
     }
 
     async fn run(&mut self) -> Infallible {
         loop {
             match self.next_event().await {
                 WatchEvent::PollDue => self.start_due_poll().await,
+                WatchEvent::CompleteListDue => self.start_complete_list_poll(),
                 WatchEvent::Ended(poll) => self.handle_end(poll).await,
+                WatchEvent::CompleteListEnded(result) => self.handle_complete_list(result).await,
             }
         }
     }
 
     async fn next_event(&mut self) -> WatchEvent {
         let ended = async { WatchEvent::Ended(self.open_polls.next_end().await) };
+        let complete_list = &mut self.complete_list_poll;
+        let complete_list_at = self.state.complete_list_at();
+        let complete_list_ended = async {
+            match (complete_list, complete_list_at) {
+                (Some(poll), _) => WatchEvent::CompleteListEnded(poll.future.as_mut().await),
+                (None, Some(at)) => {
+                    Timer::at(at).await;
+                    WatchEvent::CompleteListDue
+                }
+                (None, None) => future::pending().await,
+            }
+        };
         let due = async {
             Timer::at(self.state.next_poll_at()).await;
             WatchEvent::PollDue
         };
-        ended.or(due).await
+        ended.or(complete_list_ended).or(due).await
     }
 
     /// Starts the poll that is due. An earlier one that is still open has not been answered in time.
@@ -104,11 +135,18 @@
         let request = self.state.start_poll(Instant::now(), &mut self.client.rng);
         let reused = self.idle_connection.take();
         let poll = self.open_poll(request, reused);
+        // The kernel repeats a connection attempt too late, and nothing is lost with it.
+        self.open_polls.retain(|open| open.progress.connected.get());
         self.open_polls.push(poll);
     }
 
+    fn start_complete_list_poll(&mut self) {
+        let request = self.state.start_complete_list_poll(Instant::now(), &mut self.client.rng);
+        self.complete_list_poll = Some(self.open_poll(request, None));
+    }
+
     /// Opens a poll. It is given up [`POLL_TIMEOUT`] after discovery may hold its response.
-    fn open_poll(&self, request: PollRequest, reused: Option<DiscoveryConnection>) -> OpenPoll {
+    fn open_poll(&self, request: PollRequest, reused: Option<DiscoveryConnection>) -> PollTask {
         let address = self.address;
         let progress = Rc::new(PollProgress::default());
         let poll_progress = Rc::clone(&progress);
@@ -118,7 +156,7 @@
             let polled = async { Ok(poll(address, reused, &path, &poll_progress).await) };
             with_timeout(request.wait() + POLL_TIMEOUT, polled).await?
         };
-        OpenPoll { future: Box::pin(future), progress, started_at: Instant::now(), on_reused_connection }
+        PollTask { future: Box::pin(future), progress, started_at: Instant::now(), on_reused_connection }
     }
 
     async fn handle_end(&mut self, poll: EndedPoll) {
@@ -137,7 +175,7 @@
             // That an earlier poll was not answered has been recorded when a later one was started.
             Err(error) if !poll.is_newest && error.is_timeout() => {}
             Err(error) => {
-                self.state.record_failure(now, &mut self.client.rng);
+                self.state.record_failure(error.failure(), now, &mut self.client.rng);
                 self.report_failure(&error).await;
             }
         }
@@ -171,6 +209,20 @@
         }
     }
 
+    async fn handle_complete_list(&mut self, result: Result<PollResponse, PollError>) {
+        self.complete_list_poll = None;
+        match result {
+            Ok(response) if self.state.record_complete_list(response.list.header()) => {
+                self.apply_list(response.list).await;
+            }
+            Ok(response) => self.log_unused(&response.list, "discovery sent an outdated endpoint list"),
+            Err(error) if error.is_list_too_long() => self.report_failure(&error).await,
+            Err(error) => {
+                tracing::info!(address = %self.address, %error, "complete endpoint list not received");
+            }
+        }
+    }
+
     async fn apply_list(&mut self, list: EndpointList) {
         self.log_if_available_again();
         let scope = if list.snapshot { ListScope::Complete } else { ListScope::Changes };
--- a/crates/larklink-proxy/src/discovery/poll.rs
+++ b/crates/larklink-proxy/src/discovery/poll.rs
@@ -8,9 +8,12 @@
 use thiserror::Error;
 
 use crate::discovery::http::{Response, ResponseError, ResponseReader};
+use crate::discovery::watch_state::PollFailure;
 use crate::endpoint_list::EndpointList;
 
 const READ_BYTES: usize = 16 << 10;
+const TOO_MANY_REQUESTS: u16 = 429;
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// A connection to discovery.
 pub(crate) type DiscoveryConnection = Async<TcpStream>;
@@ -42,6 +45,20 @@
     pub(crate) fn is_timeout(&self) -> bool {
         matches!(self, Self::Io(e) if e.kind() == ErrorKind::TimedOut)
     }
+
+    /// Returns what the failure says of discovery. A response that ends in the middle of the JSON counts as a broken
+    /// connection.
+    pub(crate) fn failure(&self) -> PollFailure {
+        match self {
+            Self::Response(ResponseError::Status(SERVICE_UNAVAILABLE | TOO_MANY_REQUESTS)) => {
+                PollFailure::Overloaded
+            }
+            Self::Response(ResponseError::Body(e)) if e.is_eof() => PollFailure::NoResponse,
+            Self::Response(_) => PollFailure::InvalidResponse,
+            Self::Io(e) if e.kind() == ErrorKind::InvalidData => PollFailure::InvalidResponse,
+            Self::Io(_) => PollFailure::NoResponse,
+        }
+    }
 }
 
 /// The progress of a poll, which the caller can read after cancelling the poll.
--- a/crates/larklink-proxy/src/discovery/schedule.rs
+++ b/crates/larklink-proxy/src/discovery/schedule.rs
@@ -66,11 +66,15 @@
 /// How long a poll stays open beyond the wait that it asks for; longer than a shared service works on a poll that it has
 /// not rejected.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(3500);
-/// The most polls that are open at once, and they fit the descriptors that are reserved
+/// The most polls that are open at once, beside the poll of the complete list. They fit the descriptors that are reserved
 /// for discovery.
 pub const MAX_OPEN_POLLS: usize = 7;
 /// Minimum time between the starts of two polls that bring nothing new.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// After changes to an unknown list, the complete list is polled this much later, when the service has answered the
+/// polls of the other proxies.
+const COMPLETE_LIST_DELAY: Duration = Duration::from_secs(9);
+
 /// Who answers the polls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum PollTarget {
@@ -166,7 +170,7 @@
     }
 
     /// Whether all proxies poll one service, where each poll takes a turn.
-    fn is_shared_service(&self) -> bool {
+    pub fn is_shared_service(&self) -> bool {
         matches!(self.target, PollTarget::SharedService(_))
     }
 
@@ -191,6 +195,11 @@
         interval - MAX_JITTER.min(interval / 2).mul_f64(rng.random())
     }
 
+    /// Returns how long after changes to an unknown list the complete list is polled.
+    pub(crate) fn complete_list_delay(&self, rng: &mut ChaCha8Rng) -> Duration {
+        self.with_jitter(COMPLETE_LIST_DELAY, rng)
+    }
+
     /// Returns the longest time from when a change is available and discovery can be reached until a poll that will be
     /// answered has started, whatever failed before and for however long. A long poll may have started
     /// [`SHORTEST_OUTAGE`] before, where lists are pushed.
--- a/crates/larklink-proxy/src/discovery/watch_state.rs
+++ b/crates/larklink-proxy/src/discovery/watch_state.rs
@@ -13,7 +13,7 @@
     CompleteList,
     /// Changes to a version of the list, which discovery may wait for.
     Changes {
-        /// The version.
+        /// The version. Every list is newer than version 0.
         after: u64,
         /// How long discovery may wait for a change.
         wait: Duration,
@@ -40,6 +40,17 @@
     }
 }
 
+/// Why a poll failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The service is overloaded.
+    Overloaded,
+    /// The response is invalid, or the service does not accept the request.
+    InvalidResponse,
+    /// There was no complete response.
+    NoResponse,
+}
+
 /// A list that discovery sent, without its entries.
 #[derive(Clone, Copy, Debug)]
 pub struct ListHeader {
@@ -47,6 +58,8 @@
     pub index: u64,
     /// Whether the list is complete; otherwise it has changes only.
     pub complete: bool,
+    /// Whether it has no entries.
+    pub empty: bool,
 }
 
 /// What to do with a list that discovery sent.
@@ -64,8 +77,10 @@
 /// The version of the list at this address.
 #[derive(Clone, Copy, Debug)]
 enum KnownVersion {
-    /// The complete list has to be polled.
+    /// Nothing has been received from this address.
     Unknown,
+    /// The complete list has to be polled.
+    CompleteListRequired,
     Index(u64),
 }
 
@@ -73,12 +88,16 @@
 #[derive(Debug)]
 pub struct WatchState {
     schedule: PollSchedule,
+    /// Whether the process has a list to which changes can be applied.
+    has_list: bool,
     version: KnownVersion,
     /// Whether polls have failed since the last list.
     failing: bool,
     /// Consecutive polls that were not answered in time.
     unanswered: u32,
     next_poll_at: Instant,
+    /// When the complete list is to be polled beside the watch; none if the process has it.
+    complete_list_at: Option<Instant>,
     /// The start of the last poll that returned an outdated list.
     outdated_polled_at: Option<Instant>,
     /// Whether discovery is known to be unavailable.
@@ -86,14 +105,17 @@
 }
 
 impl WatchState {
-    /// Creates a state for an address that has not been polled yet.
-    pub fn new(schedule: PollSchedule, now: Instant) -> Self {
+    /// Creates a state for an address that has not been polled yet. `has_list` tells whether the process has a list from
+    /// another address or from before its start.
+    pub fn new(schedule: PollSchedule, has_list: bool, now: Instant) -> Self {
         Self {
             schedule,
+            has_list,
             version: KnownVersion::Unknown,
             failing: false,
             unanswered: 0,
             next_poll_at: now,
+            complete_list_at: None,
             outdated_polled_at: None,
             unavailable: false,
         }
@@ -104,6 +126,16 @@
         self.next_poll_at
     }
 
+    /// Returns when the complete list is to be polled beside the watch.
+    pub fn complete_list_at(&self) -> Option<Instant> {
+        self.complete_list_at
+    }
+
+    /// Whether the process has a list to which changes can be applied.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Starts the poll that is due, and schedules the next one in case it is not answered.
     pub fn start_poll(&mut self, now: Instant, rng: &mut ChaCha8Rng) -> PollRequest {
         let request = self.next_request();
@@ -120,7 +152,11 @@
     fn next_request(&self) -> PollRequest {
         let probe_wait = self.schedule.probe_wait;
         match self.version {
-            KnownVersion::Unknown => PollRequest::CompleteList,
+            // A first list and the watch after it would take two turns of a shared service.
+            KnownVersion::Unknown if self.schedule.is_shared_service() => {
+                PollRequest::Changes { after: 0, wait: probe_wait }
+            }
+            KnownVersion::Unknown | KnownVersion::CompleteListRequired => PollRequest::CompleteList,
             KnownVersion::Index(after) => {
                 let wait = if self.failing { probe_wait } else { self.schedule.long_poll_wait };
                 PollRequest::Changes { after, wait }
@@ -128,6 +164,12 @@
         }
     }
 
+    /// Starts the poll of the complete list beside the watch, and schedules it again in case it fails.
+    pub fn start_complete_list_poll(&mut self, now: Instant, rng: &mut ChaCha8Rng) -> PollRequest {
+        self.complete_list_at = Some(now + self.schedule.complete_list_delay(rng));
+        PollRequest::CompleteList
+    }
+
     /// Records that the last poll has not been answered before the next one is due.
     pub fn record_unanswered(&mut self) {
         self.failing = true;
@@ -135,8 +177,12 @@
     }
 
     /// Records a failed poll. The next one is due after a pause, but no later than without this failure.
-    pub fn record_failure(&mut self, now: Instant, rng: &mut ChaCha8Rng) {
+    pub fn record_failure(&mut self, failure: PollFailure, now: Instant, rng: &mut ChaCha8Rng) {
         self.failing = true;
+        if failure == PollFailure::InvalidResponse && matches!(self.version, KnownVersion::Unknown) {
+            // The service may not know of version 0.
+            self.version = KnownVersion::CompleteListRequired;
+        }
         let pause = self.schedule.with_jitter(self.schedule.failure_interval, rng);
         self.next_poll_at = self.next_poll_at.min(now + pause);
     }
@@ -159,7 +205,7 @@
     ) -> ListUse {
         let verdict = self.classify(list, on_reused_connection);
         match verdict {
-            ListUse::Apply => self.record_applied_list(list, started_at, now),
+            ListUse::Apply => self.record_applied_list(list, started_at, now, rng),
             ListUse::Outdated => self.record_outdated_list(started_at, now),
             ListUse::UnknownChanges => self.record_unknown_changes(now, rng),
         }
@@ -167,13 +213,20 @@
     }
 
     fn record_unknown_changes(&mut self, now: Instant, rng: &mut ChaCha8Rng) {
-        self.version = KnownVersion::Unknown;
-        self.record_failure(now, rng);
+        match std::mem::replace(&mut self.version, KnownVersion::CompleteListRequired) {
+            // Changes to version 0, for a process that has no list: that is no failure.
+            KnownVersion::Unknown => self.next_poll_at = now,
+            _ => self.record_failure(PollFailure::InvalidResponse, now, rng),
+        }
     }
 
     fn classify(&self, list: ListHeader, on_reused_connection: bool) -> ListUse {
         let outdated = matches!(self.version, KnownVersion::Index(known) if list.index < known);
-        let changes_apply = matches!(self.version, KnownVersion::Index(_)) && !outdated;
+        let changes_apply = match self.version {
+            KnownVersion::Unknown => self.has_list && self.schedule.is_shared_service(),
+            KnownVersion::CompleteListRequired => false,
+            KnownVersion::Index(_) => !outdated,
+        };
         if list.complete && outdated && on_reused_connection {
             ListUse::Outdated
         } else if list.complete || changes_apply {
@@ -183,7 +236,21 @@
         }
     }
 
-    fn record_applied_list(&mut self, list: ListHeader, started_at: Instant, now: Instant) {
+    fn record_applied_list(
+        &mut self,
+        list: ListHeader,
+        started_at: Instant,
+        now: Instant,
+        rng: &mut ChaCha8Rng,
+    ) {
+        if list.complete {
+            self.has_list = true;
+            self.complete_list_at = None;
+        } else if matches!(self.version, KnownVersion::Unknown) {
+            // Entries that have not changed since version 0 may be missing.
+            let delay = if list.empty { Duration::ZERO } else { self.schedule.complete_list_delay(rng) };
+            self.complete_list_at = Some(now + delay);
+        }
         let is_new = !matches!(self.version, KnownVersion::Index(known) if known == list.index);
         self.version = KnownVersion::Index(list.index);
         self.failing = false;
@@ -195,7 +262,7 @@
 
     /// The known version is forgotten, so the complete list is polled next.
     fn record_outdated_list(&mut self, started_at: Instant, now: Instant) {
-        self.version = KnownVersion::Unknown;
+        self.version = KnownVersion::CompleteListRequired;
         self.record_closed_connection(started_at, now);
         let earlier = self.outdated_polled_at.replace(started_at);
         if earlier.is_some_and(|at| now - at < self.schedule.min_poll_interval) {
@@ -203,6 +270,17 @@
         }
     }
 
+    /// Decides whether the complete list that was polled beside the watch is applied. The watch goes on from its own
+    /// version. An older list is dropped, and polled again later.
+    pub fn record_complete_list(&mut self, list: ListHeader) -> bool {
+        let outdated = matches!(self.version, KnownVersion::Index(known) if list.index < known);
+        let applies = list.complete && !outdated;
+        if applies {
+            self.complete_list_at = None;
+        }
+        applies
+    }
+
     /// Records a response of discovery. Returns whether discovery was unavailable before.
     pub(crate) fn record_available(&mut self) -> bool {
         std::mem::take(&mut self.unavailable)
--- a/crates/larklink-proxy/src/endpoint_list.rs
+++ b/crates/larklink-proxy/src/endpoint_list.rs
@@ -23,7 +23,7 @@
 impl EndpointList {
     /// Returns what decides how the list is used.
     pub(crate) fn header(&self) -> ListHeader {
-        ListHeader { index: self.index, complete: self.snapshot }
+        ListHeader { index: self.index, complete: self.snapshot, empty: self.endpoints.is_empty() }
     }
 }
 
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -86,9 +86,9 @@
     let limiter = new_limiter(&config);
     let cached_endpoints = std::mem::take(&mut config.cached_endpoints);
     let endpoints = initial_endpoints(cached_endpoints, predecessor.as_ref());
-
+    let has_list = !endpoints.is_empty();
     let first_list = spawn_decisions(&config, endpoints, &queue, events, &limiter, &metrics, &executor);
-    spawn_discovery(&config, options.discovery_addresses, &queue, &metrics, &executor);
+    spawn_discovery(&config, has_list, options.discovery_addresses, &queue, &metrics, &executor);
     // Dropping the guard closes the channel.
     let (accept_guard, accepting_stopped) = async_channel::bounded(1);
     let session_shutdown = Shutdown::new(shutdown.clone(), shutdown_grace(&config));
@@ -189,6 +189,7 @@
 
 fn spawn_discovery(
     config: &Config,
+    has_list: bool,
     addresses: Receiver<SocketAddr>,
     queue: &DecisionQueue,
     metrics: &Arc<Metrics>,
@@ -199,7 +200,8 @@
         PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery)
             .with_proxies(settings.proxy_count);
     let rng = new_rng(config.seed, DISCOVERY_RNG_STREAM);
-    let client = DiscoveryClient { schedule, queue: queue.clone(), metrics: Arc::clone(metrics), rng };
+    let client =
+        DiscoveryClient { schedule, has_list, queue: queue.clone(), metrics: Arc::clone(metrics), rng };
     executor.spawn(discovery::follow(client, config.discovery, addresses)).detach();
 }
 
--- a/crates/larklink-simulation/src/lib.rs
+++ b/crates/larklink-simulation/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`scenario`] describes a run, [`faults`] expands its faults into timed events, and [`model`] combines all parts.
 //! - [`audit`] and [`goodput`] evaluate an event log.
+//! - [`list_service`] is a discovery service of fixed capacity.
 //! - [`lease_model`], [`lease_store`] and [`state_search`] check the leases of `larklink-coordination`.
 pub mod audit;
 pub mod clients;
@@ -17,6 +18,7 @@
 pub mod goodput;
 pub mod lease_model;
 pub mod lease_store;
+pub mod list_service;
 pub mod model;
 pub mod scenario;
 pub mod server;
