A list of a lower version no longer undoes a drain

Cause: a complete list of a lower version was applied as it came. Change: the highest version that the process has had goes from address to address (WatchState, DiscoveryClient). A list below it (ListScope::may_be_older) opens no endpoint that a newer one has closed, unless it has started since; what it closes itself, a later one of its kind opens.

--- a/crates/larklink-balancer/src/balancer.rs
+++ b/crates/larklink-balancer/src/balancer.rs
@@ -8,7 +8,7 @@
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::discovery_schedule::DiscoverySchedule;
 use crate::endpoint::EndpointSet;
-use crate::event::{AttemptOutcome, EndpointEntry, ListScope, Observation, SessionRequest};
+use crate::event::{AttemptOutcome, EndpointEntry, EndpointState, ListScope, Observation, SessionRequest};
 use crate::ids::{EndpointIndex, SessionHandle};
 use crate::load::{ReportedCapacity, SessionLoads};
 use crate::migration::{self, MigrationBudget, ReliefSelection};
@@ -86,6 +86,15 @@
         self.list_changed = true;
     }
 
+    /// Returns the state of an endpoint; removed if no list has contained it.
+    pub fn endpoint_state(&self, endpoint: EndpointIndex) -> EndpointState {
+        if endpoint.0 < self.endpoints.len() {
+            self.endpoints[endpoint].entry().state
+        } else {
+            EndpointState::Removed
+        }
+    }
+
     /// Forgets what is known of endpoints that were removed from the list at least a minute ago and that no
     /// session uses, if there are many of them. Returns their indices, which may be assigned to other endpoints.
     pub fn forget_removed_endpoints(&mut self, now: Timestamp) -> Vec<EndpointIndex> {
--- a/crates/larklink-balancer/src/endpoint.rs
+++ b/crates/larklink-balancer/src/endpoint.rs
@@ -28,6 +28,8 @@
     closing_notified_at: Option<Timestamp>,
     /// Whether it has been listed as draining since it was last ready.
     listed_draining: bool,
+    /// Whether a list that may be older than the known one has closed it.
+    closed_by_older_list: bool,
     /// When it joined the list; 0 if it was in the cached list.
     joined_at: Timestamp,
     pub(crate) outlier: OutlierState,
@@ -45,6 +47,7 @@
             entry: EndpointEntry::default(),
             closing_notified_at: None,
             listed_draining: false,
+            closed_by_older_list: false,
             joined_at: Timestamp::ZERO,
             outlier: OutlierState::new(),
             health_check: HealthCheckState::new(),
@@ -54,7 +57,10 @@
         }
     }
 
-    fn update(&mut self, now: Timestamp, scope: ListScope, entry: EndpointEntry) {
+    fn update(&mut self, now: Timestamp, scope: ListScope, mut entry: EndpointEntry) {
+        if scope.may_be_older() && self.stays_closed(&entry) {
+            entry.state = self.entry.state;
+        }
         if entry.started_at > self.entry.started_at {
             self.outlier.record_restart(now);
             self.load.record_restart();
@@ -67,14 +73,27 @@
             self.closing_notified_at = None;
             self.listed_draining = false;
         } else {
-            self.closing_notified_at.get_or_insert(now);
+            self.record_closing(now, scope);
             self.listed_draining |= entry.state == EndpointState::Draining;
         }
     }
 
-    fn mark_removed(&mut self, now: Timestamp) {
+    /// Returns whether an entry of a list that may be older cannot make the endpoint ready again.
+    fn stays_closed(&self, entry: &EndpointEntry) -> bool {
+        let closed_by_newer_list = self.closing_notified_at.is_some() && !self.closed_by_older_list;
+        let has_restarted = entry.started_at > self.entry.started_at;
+        entry.state == EndpointState::Ready && closed_by_newer_list && !has_restarted
+    }
+
+    fn record_closing(&mut self, now: Timestamp, scope: ListScope) {
+        let was_ready = self.closing_notified_at.is_none();
+        self.closed_by_older_list = scope.may_be_older() && (was_ready || self.closed_by_older_list);
+        self.closing_notified_at.get_or_insert(now);
+    }
+
+    fn mark_removed(&mut self, now: Timestamp, scope: ListScope) {
         self.entry.state = EndpointState::Removed;
-        self.closing_notified_at = Some(now);
+        self.record_closing(now, scope);
     }
 
     /// Returns its latest entry in the endpoint list.
@@ -159,11 +178,11 @@
 
     /// Applies an endpoint list or its changes.
     pub(crate) fn update(&mut self, now: Timestamp, scope: ListScope, entries: &[EndpointEntry]) {
-        if scope != ListScope::Changes {
+        if scope.is_complete() {
             let listed: BTreeSet<_> = entries.iter().map(|entry| entry.index).collect();
             for endpoint in &mut self.endpoints {
                 if endpoint.is_ready() && !listed.contains(&endpoint.entry.index) {
-                    endpoint.mark_removed(now);
+                    endpoint.mark_removed(now, scope);
                 }
             }
         }
--- a/crates/larklink-balancer/src/event.rs
+++ b/crates/larklink-balancer/src/event.rs
@@ -43,6 +43,23 @@
     Complete,
     /// All endpoints, as cached from before this process started.
     Cached,
+    /// The endpoints that changed, in a list that may be older than the known one.
+    OlderChanges,
+    /// All endpoints, in a list that may be older than the known one.
+    OlderComplete,
+}
+
+impl ListScope {
+    /// Whether endpoints that are missing are removed.
+    pub fn is_complete(self) -> bool {
+        matches!(self, Self::Complete | Self::Cached | Self::OlderComplete)
+    }
+
+    /// Whether the list may be older than the known one. It does not make an endpoint ready again that a newer list has
+    /// closed, unless the endpoint has started since.
+    pub fn may_be_older(self) -> bool {
+        matches!(self, Self::OlderChanges | Self::OlderComplete)
+    }
 }
 
 /// A session that has reached the proxy.
--- a/crates/larklink-balancer/tests/decisions/placement.rs
+++ b/crates/larklink-balancer/tests/decisions/placement.rs
@@ -148,3 +148,33 @@
         "a single session is spread like a large group"
     );
 }
+
+/// Guards against a drain that an older list undoes: after SIGHUP, or when discovery starts again, a list may come that
+/// was made before the drain.
+#[test]
+fn an_older_list_makes_no_closed_endpoint_ready_again() {
+    use EndpointState::{Draining, Ready, Removed};
+    use ListScope::{Changes, OlderChanges, OlderComplete};
+    let mut balancer = balancer_with(settings(), 5);
+    let state = |balancer: &Balancer, index| balancer.endpoint_state(EndpointIndex(index));
+    let closed = [entry(0, Draining, START), entry(1, Removed, START), entry(2, Draining, START)];
+    balancer.update_endpoints(at(SECOND), Changes, &closed);
+    // It lacks endpoint 4, which joined later, and knows of a later start of endpoint 2.
+    let older = [
+        entry(0, Ready, START),
+        entry(1, Ready, START),
+        entry(2, Ready, at(SECOND)),
+        entry(3, Draining, START),
+    ];
+    balancer.update_endpoints(at(2 * SECOND), OlderComplete, &older);
+    assert_eq!(
+        [0, 1, 2, 3, 4].map(|index| state(&balancer, index)),
+        [Draining, Removed, Ready, Draining, Removed]
+    );
+    // What an older list has closed, a later one of the same address opens.
+    let later = [3, 4, 0].map(|index| entry(index, Ready, START));
+    balancer.update_endpoints(at(3 * SECOND), OlderChanges, &later);
+    assert_eq!([0, 3, 4].map(|index| state(&balancer, index)), [Draining, Ready, Ready]);
+    balancer.update_endpoints(at(4 * SECOND), Changes, &[entry(0, Ready, START)]);
+    assert_eq!(state(&balancer, 0), Ready);
+}
--- a/crates/larklink-engine/src/engine.rs
+++ b/crates/larklink-engine/src/engine.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 
 use larklink_balancer::{
-    Action, AttemptOutcome, Balancer, Decision, EndpointEntry, EndpointIndex, HealthSummary, ListScope,
-    LogEvent, Observation, SessionHandle, SessionRequest, TickDuration, Timestamp,
+    Action, AttemptOutcome, Balancer, Decision, EndpointEntry, EndpointIndex, EndpointState, HealthSummary,
+    ListScope, LogEvent, Observation, SessionHandle, SessionRequest, TickDuration, Timestamp,
 };
 
 use crate::settings::ProxySettings;
@@ -140,6 +140,12 @@
         ids
     }
 
+    /// Returns the state of an endpoint; removed if no list has contained it.
+    pub fn endpoint_state(&self, id: EndpointId) -> EndpointState {
+        let index = self.endpoints.get(&id);
+        index.map_or(EndpointState::Removed, |index| self.balancer.endpoint_state(*index))
+    }
+
     /// Reports that a poll of the endpoint list failed or the subscription to it broke.
     pub fn discovery_failed(&mut self, now: Timestamp) {
         self.balancer.discovery_failed(now);
--- a/crates/larklink-proxy/src/decision_task.rs
+++ b/crates/larklink-proxy/src/decision_task.rs
@@ -12,7 +12,7 @@
 use async_io::Timer;
 use futures_lite::{FutureExt, future};
 use larklink_balancer::{
-    AttemptOutcome, ListScope, LogEvent, Observation, SessionRequest, TickDuration, Timestamp,
+    AttemptOutcome, EndpointState, ListScope, LogEvent, Observation, SessionRequest, TickDuration, Timestamp,
 };
 use larklink_engine::engine::{AttemptNumber, EndpointId, Engine, ProxyAction, SessionId};
 use larklink_engine::settings::ProxySettings;
@@ -214,7 +214,7 @@
     }
 
     fn update_endpoints(&mut self, now: Timestamp, scope: ListScope, endpoints: &[Endpoint]) {
-        if scope != ListScope::Changes {
+        if scope.is_complete() {
             self.endpoints.clear();
         }
         for endpoint in endpoints {
@@ -225,6 +225,27 @@
         for endpoint in self.engine.update_endpoints(now, scope, entries) {
             self.forget_endpoint(endpoint);
         }
+        if scope.may_be_older() {
+            endpoints.iter().for_each(|endpoint| self.keep_closed(endpoint));
+        }
+    }
+
+    /// Takes over the state of an endpoint that an older list has not made ready again.
+    fn keep_closed(&mut self, endpoint: &Endpoint) {
+        let id = endpoint_id(&endpoint.name);
+        if endpoint.state() != EndpointState::Ready {
+            return;
+        }
+        match self.engine.endpoint_state(id) {
+            EndpointState::Ready => return,
+            EndpointState::Removed => _ = self.endpoints.remove(&id),
+            EndpointState::Draining => {
+                if let Some(kept) = self.endpoints.get_mut(&id) {
+                    kept.set_draining();
+                }
+            }
+        }
+        tracing::warn!(endpoint = format!("{id:08x}"), "endpoint stays closed despite an older list");
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
--- a/crates/larklink-proxy/src/discovery/client.rs
+++ b/crates/larklink-proxy/src/discovery/client.rs
@@ -28,6 +28,8 @@
     pub schedule: PollSchedule,
     /// Whether the process has a list from before its start.
     pub has_list: bool,
+    /// The highest version of a list that the process has had.
+    pub newest_index: u64,
     /// Where lists are sent.
     pub queue: DecisionQueue,
     /// The metrics of the process.
@@ -53,7 +55,9 @@
         };
         // A new address cancels the polls and pauses that are in progress.
         address = new_address.or(async { match watch.run().await {} }).await;
-        client.has_list = watch.state.has_list();
+        let (has_list, newest_index) = (watch.state.has_list(), watch.state.newest_index());
+        client.has_list = has_list;
+        client.newest_index = newest_index;
     }
 }
 
@@ -83,7 +87,7 @@
 
 impl<'a> Watch<'a> {
     fn new(client: &'a mut DiscoveryClient, address: SocketAddr) -> Self {
-        let state = WatchState::new(client.schedule, client.has_list, Instant::now());
+        let state = WatchState::new(client.schedule, client.has_list, client.newest_index, Instant::now());
         Self {
             client,
             address,
@@ -200,7 +204,8 @@
         // Any further response on a connection that delivered an outdated list would be late, too.
         self.idle_connection = connection.filter(|_| verdict != ListUse::Outdated);
         match verdict {
-            ListUse::Apply => self.apply_list(list).await,
+            ListUse::Apply => self.apply_list(list, false).await,
+            ListUse::ApplyOlder => self.apply_list(list, true).await,
             ListUse::Outdated => self.log_unused(&list, "discovery sent an outdated endpoint list"),
             ListUse::UnknownChanges => {
                 self.log_if_available_again();
@@ -212,10 +217,11 @@
     async fn handle_complete_list(&mut self, result: Result<PollResponse, PollError>) {
         self.complete_list_poll = None;
         match result {
-            Ok(response) if self.state.record_complete_list(response.list.header()) => {
-                self.apply_list(response.list).await;
-            }
-            Ok(response) => self.log_unused(&response.list, "discovery sent an outdated endpoint list"),
+            Ok(response) => match self.state.record_complete_list(response.list.header()) {
+                ListUse::Apply => self.apply_list(response.list, false).await,
+                ListUse::ApplyOlder => self.apply_list(response.list, true).await,
+                _ => self.log_unused(&response.list, "discovery sent an outdated endpoint list"),
+            },
             Err(error) if error.is_list_too_long() => self.report_failure(&error).await,
             Err(error) => {
                 tracing::info!(address = %self.address, %error, "complete endpoint list not received");
@@ -223,9 +229,14 @@
         }
     }
 
-    async fn apply_list(&mut self, list: EndpointList) {
+    async fn apply_list(&mut self, list: EndpointList, may_be_older: bool) {
         self.log_if_available_again();
-        let scope = if list.snapshot { ListScope::Complete } else { ListScope::Changes };
+        let scope = match (list.snapshot, may_be_older) {
+            (true, false) => ListScope::Complete,
+            (true, true) => ListScope::OlderComplete,
+            (false, false) => ListScope::Changes,
+            (false, true) => ListScope::OlderChanges,
+        };
         if list.snapshot || !list.endpoints.is_empty() {
             self.client.queue.send(DecisionEvent::EndpointList(scope, list.endpoints)).await;
         }
--- a/crates/larklink-proxy/src/discovery/watch_state.rs
+++ b/crates/larklink-proxy/src/discovery/watch_state.rs
@@ -67,6 +67,9 @@
 pub enum ListUse {
     /// It is a complete list, or has changes that can be applied to the list that the process has.
     Apply,
+    /// The same, of a version below the newest one that the process has had: another address may be behind, or discovery
+    /// counts anew.
+    ApplyOlder,
     /// It is complete, and older than the known one: the late response to an earlier poll. Applying it would make
     /// endpoints ready again that are draining now.
     Outdated,
@@ -91,6 +94,8 @@
     /// Whether the process has a list to which changes can be applied.
     has_list: bool,
     version: KnownVersion,
+    /// The highest version that the process has had, from any address.
+    newest_index: u64,
     /// Whether polls have failed since the last list.
     failing: bool,
     /// Consecutive polls that were not answered in time.
@@ -106,12 +111,13 @@
 
 impl WatchState {
     /// Creates a state for an address that has not been polled yet. `has_list` tells whether the process has a list from
-    /// another address or from before its start.
-    pub fn new(schedule: PollSchedule, has_list: bool, now: Instant) -> Self {
+    /// another address or from before its start, and `newest_index` is its highest version so far.
+    pub fn new(schedule: PollSchedule, has_list: bool, newest_index: u64, now: Instant) -> Self {
         Self {
             schedule,
             has_list,
             version: KnownVersion::Unknown,
+            newest_index,
             failing: false,
             unanswered: 0,
             next_poll_at: now,
@@ -136,6 +142,11 @@
         self.has_list
     }
 
+    /// Returns the highest version of a list that the process has had.
+    pub fn newest_index(&self) -> u64 {
+        self.newest_index
+    }
+
     /// Starts the poll that is due, and schedules the next one in case it is not answered.
     pub fn start_poll(&mut self, now: Instant, rng: &mut ChaCha8Rng) -> PollRequest {
         let request = self.next_request();
@@ -205,7 +216,7 @@
     ) -> ListUse {
         let verdict = self.classify(list, on_reused_connection);
         match verdict {
-            ListUse::Apply => self.record_applied_list(list, started_at, now, rng),
+            ListUse::Apply | ListUse::ApplyOlder => self.record_applied_list(list, started_at, now, rng),
             ListUse::Outdated => self.record_outdated_list(started_at, now),
             ListUse::UnknownChanges => self.record_unknown_changes(now, rng),
         }
@@ -229,10 +240,12 @@
         };
         if list.complete && outdated && on_reused_connection {
             ListUse::Outdated
-        } else if list.complete || changes_apply {
-            ListUse::Apply
-        } else {
+        } else if !list.complete && !changes_apply {
             ListUse::UnknownChanges
+        } else if list.index < self.newest_index {
+            ListUse::ApplyOlder
+        } else {
+            ListUse::Apply
         }
     }
 
@@ -251,6 +264,7 @@
             let delay = if list.empty { Duration::ZERO } else { self.schedule.complete_list_delay(rng) };
             self.complete_list_at = Some(now + delay);
         }
+        self.newest_index = self.newest_index.max(list.index);
         let is_new = !matches!(self.version, KnownVersion::Index(known) if known == list.index);
         self.version = KnownVersion::Index(list.index);
         self.failing = false;
@@ -270,15 +284,15 @@
         }
     }
 
-    /// Decides whether the complete list that was polled beside the watch is applied. The watch goes on from its own
-    /// version. An older list is dropped, and polled again later.
-    pub fn record_complete_list(&mut self, list: ListHeader) -> bool {
+    /// Decides what to do with the complete list that was polled beside the watch. The watch goes on from its own version.
+    /// A list that is older than that is dropped, and polled again later.
+    pub fn record_complete_list(&mut self, list: ListHeader) -> ListUse {
         let outdated = matches!(self.version, KnownVersion::Index(known) if list.index < known);
-        let applies = list.complete && !outdated;
-        if applies {
-            self.complete_list_at = None;
+        if outdated || !list.complete {
+            return ListUse::Outdated;
         }
-        applies
+        self.complete_list_at = None;
+        if list.index < self.newest_index { ListUse::ApplyOlder } else { ListUse::Apply }
     }
 
     /// Records a response of discovery. Returns whether discovery was unavailable before.
--- a/crates/larklink-proxy/src/endpoint_list.rs
+++ b/crates/larklink-proxy/src/endpoint_list.rs
@@ -6,6 +6,7 @@
 
 use crate::discovery::watch_state::ListHeader;
 
+const DRAINING: &str = "draining";
 const TICKS_PER_MILLISECOND: f64 = 10.0;
 
 /// A complete endpoint list, or changes to one, as discovery sends it.
@@ -71,7 +72,13 @@
         }
     }
 
-    fn state(&self) -> EndpointState {
+    /// Marks the endpoint as draining.
+    pub(crate) fn set_draining(&mut self) {
+        self.status = DRAINING.to_owned();
+    }
+
+    /// Returns the state that the entry lists.
+    pub(crate) fn state(&self) -> EndpointState {
         match self.status.as_str() {
             "up" => EndpointState::Ready,
             "removed" => EndpointState::Removed,
--- a/crates/larklink-proxy/src/proxy.rs
+++ b/crates/larklink-proxy/src/proxy.rs
@@ -200,8 +200,14 @@
         PollSchedule::new(settings.discovery_deadline, settings.drain_grace, settings.polled_discovery)
             .with_proxies(settings.proxy_count);
     let rng = new_rng(config.seed, DISCOVERY_RNG_STREAM);
-    let client =
-        DiscoveryClient { schedule, has_list, queue: queue.clone(), metrics: Arc::clone(metrics), rng };
+    let client = DiscoveryClient {
+        schedule,
+        has_list,
+        newest_index: 0,
+        queue: queue.clone(),
+        metrics: Arc::clone(metrics),
+        rng,
+    };
     executor.spawn(discovery::follow(client, config.discovery, addresses)).detach();
 }
 
--- a/crates/larklink-proxy/tests/discovery.rs
+++ b/crates/larklink-proxy/tests/discovery.rs
@@ -88,7 +88,7 @@
     let started = Instant::now();
     let list = ListHeader { index: 41, complete: true, empty: false };
     for order in 0..8 {
-        let mut state = WatchState::new(*schedule, true, started);
+        let mut state = WatchState::new(*schedule, true, 0, started);
         state.start_poll(started, &mut rng);
         state.record_list(list, false, started, started, &mut rng);
         for poll in 0..3 {
@@ -116,7 +116,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(8);
     let mut mean_interval = |rejects: bool| {
         let started = Instant::now();
-        let mut state = WatchState::new(schedule, true, started);
+        let mut state = WatchState::new(schedule, true, 0, started);
         for _ in 0..200 {
             let now = state.next_poll_at();
             state.start_poll(now, &mut rng);
@@ -457,3 +457,22 @@
     let delays: Vec<_> = runs.into_iter().map(|run| run.join().unwrap()).collect();
     assert!(delays.iter().all(|delay| *delay < Duration::from_millis(500)), "{delays:?}");
 }
+
+/// Guards against an older list that undoes a drain: discovery starts again and has the list of before.
+#[test]
+fn an_older_list_of_a_restarted_discovery_does_not_undo_a_drain() {
+    let ((first, a), (second, b)) = (listen(), listen());
+    let (proxy, agent, mut watch) = start_with_two_endpoints(a, b);
+    respond(&mut watch, &list(42, false, &[endpoint("s-0", a, "draining")]));
+    receive_request(&mut watch);
+    watch.reset();
+    let mut watch = Peer::accept(&agent);
+    receive_request(&mut watch);
+    let up = [endpoint("s-0", a, "up"), endpoint("s-1", b, "up")];
+    respond(&mut watch, &list(41, true, &up));
+    assert!(receive_request(&mut watch).contains("after=41&"));
+    assert_sessions_go_only_to(&proxy, &second, &first);
+    respond(&mut watch, &list(43, false, &[endpoint("s-0", a, "up"), endpoint("s-1", b, "removed")]));
+    assert!(receive_request(&mut watch).contains("after=43&"));
+    assert_sessions_go_only_to(&proxy, &first, &second);
+}
--- a/crates/larklink-proxy/tests/discovery_model.rs
+++ b/crates/larklink-proxy/tests/discovery_model.rs
@@ -49,7 +49,7 @@
     seed: u64,
 ) -> Duration {
     let (went_down, mut rng) = (Instant::now(), ChaCha8Rng::seed_from_u64(seed));
-    let mut state = WatchState::new(schedule, true, went_down);
+    let mut state = WatchState::new(schedule, true, 0, went_down);
     if watches {
         state.start_poll(went_down, &mut rng);
         state.record_list(LIST, false, went_down, went_down, &mut rng);
@@ -143,7 +143,7 @@
         let schedule = PollSchedule::new(ticks(10_000), ticks(2_000), true).with_proxies(count);
         let started_at = Instant::now();
         let proxies = (0..count).map(|number| ModelProxy {
-            state: WatchState::new(schedule, true, started_at + ms(600) * number / count),
+            state: WatchState::new(schedule, true, 0, started_at + ms(600) * number / count),
             polls: OpenPolls::default(),
             complete_list_poll: None,
             notified_at: None,
@@ -182,7 +182,7 @@
         let model = &mut self.proxies[proxy];
         if model.complete_list_poll == Some(number) {
             model.complete_list_poll = None;
-            model.has_complete_list = model.state.record_complete_list(LIST);
+            model.has_complete_list = model.state.record_complete_list(LIST) == ListUse::Apply;
             return;
         }
         let Some(poll) = model.polls.iter().find(|poll| poll.number == number) else { return };
