The endpoint directory is a module of its own

decision_task.rs held the current list, the addresses and the zone names beside the engine, and changed them in five functions. EndpointDirectory does so now; what is decided and logged is the same.

--- a/crates/larklink-proxy/src/decision_task.rs
+++ b/crates/larklink-proxy/src/decision_task.rs
@@ -1,8 +1,7 @@
 //! The task that owns the engine, which makes all balancing decisions. Other tasks send it events through the
 //! [`DecisionQueue`](crate::events::DecisionQueue); session tasks receive commands in return.
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
@@ -18,6 +17,7 @@
 use larklink_engine::settings::ProxySettings;
 
 use crate::clock::{Clock, to_ticks};
+use crate::endpoint_directory::EndpointDirectory;
 use crate::endpoint_list::{Endpoint, endpoint_id};
 use crate::events::{DecisionEvent, SessionCommand};
 use crate::metrics::Metrics;
@@ -32,14 +32,9 @@
 pub struct DecisionTask {
     engine: Engine,
     clock: Clock,
-    /// Zone names; the engine identifies an endpoint's zone by its index in this list.
-    zones: Vec<String>,
     /// `None` if message latency is not reported.
     message_latency: Option<LatencyEstimator>,
-    /// The last known address of every endpoint that the engine knows.
-    addresses: HashMap<EndpointId, SocketAddr>,
-    /// The current endpoint list.
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    endpoints: EndpointDirectory,
     /// The command channel of each session.
     commands: HashMap<SessionId, Sender<SessionCommand>>,
     health_checker: Rc<HealthChecker>,
@@ -66,12 +61,10 @@
         let mut task = Self {
             engine: Engine::new(settings, seed, clock.now()),
             clock,
-            zones: settings.zones.clone(),
             message_latency: settings
                 .reports_message_latency
                 .then(|| LatencyEstimator::new(message_objective)),
-            addresses: HashMap::new(),
-            endpoints: BTreeMap::new(),
+            endpoints: EndpointDirectory::new(settings.zones.clone()),
             commands: HashMap::new(),
             health_checker,
             executor,
@@ -148,7 +141,7 @@
             DecisionEvent::TakeOver => self.engine.take_over_from_predecessor(now),
             DecisionEvent::CurrentEndpoints(reply) => {
                 // Sending fails only if the requesting task has ended.
-                let _ = reply.try_send(self.endpoints.values().cloned().collect());
+                let _ = reply.try_send(self.endpoints.listed().values().cloned().collect());
             }
             DecisionEvent::DiscoveryFailed => self.engine.discovery_failed(now),
         }
@@ -175,7 +168,7 @@
         let connect = SessionCommand::Connect {
             attempt: 0,
             endpoint,
-            address: self.addresses.get(&endpoint).copied(),
+            address: self.endpoints.address(endpoint),
             deadline: now,
             send_deadline: now,
         };
@@ -214,67 +207,31 @@
     }
 
     fn update_endpoints(&mut self, now: Timestamp, scope: ListScope, endpoints: &[Endpoint]) {
-        if scope.is_complete() {
-            self.endpoints.clear();
-        }
-        for endpoint in endpoints {
-            self.update_endpoint(endpoint);
-        }
-        self.health_checker.update_endpoints(&self.endpoints);
-        let entries = endpoints.iter().map(|endpoint| endpoint.to_entry(&self.zones)).collect();
+        let entries = self.endpoints.update(scope, endpoints);
+        self.health_checker.update_endpoints(self.endpoints.listed());
         for endpoint in self.engine.update_endpoints(now, scope, entries) {
             self.forget_endpoint(endpoint);
         }
         if scope.may_be_older() {
-            endpoints.iter().for_each(|endpoint| self.keep_closed(endpoint));
+            self.keep_closed(endpoints);
         }
     }
 
-    /// Takes over the state of an endpoint that an older list has not made ready again.
-    fn keep_closed(&mut self, endpoint: &Endpoint) {
-        let id = endpoint_id(&endpoint.name);
-        if endpoint.state() != EndpointState::Ready {
-            return;
-        }
-        match self.engine.endpoint_state(id) {
-            EndpointState::Ready => return,
-            EndpointState::Removed => _ = self.endpoints.remove(&id),
-            EndpointState::Draining => {
-                if let Some(kept) = self.endpoints.get_mut(&id) {
-                    kept.set_draining();
-                }
-            }
+    /// Takes over the state of endpoints that an older list has not made ready again.
+    fn keep_closed(&mut self, endpoints: &[Endpoint]) {
+        let ready = endpoints.iter().filter(|endpoint| endpoint.state() == EndpointState::Ready);
+        for id in ready.map(|endpoint| endpoint_id(&endpoint.name)) {
+            self.endpoints.keep_closed(id, self.engine.endpoint_state(id));
         }
-        tracing::warn!(endpoint = format!("{id:08x}"), "endpoint stays closed despite an older list");
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
-        self.addresses.remove(&endpoint);
+        self.endpoints.forget(endpoint);
         if let Some(estimator) = &mut self.message_latency {
             estimator.forget(endpoint);
         }
     }
 
-    fn update_endpoint(&mut self, endpoint: &Endpoint) {
-        let Endpoint { name, status, address, .. } = endpoint;
-        let id = endpoint_id(name);
-        match address.parse() {
-            Ok(address) => {
-                self.addresses.insert(id, address);
-            }
-            Err(_) if status == "up" => tracing::warn!(name, address, "endpoint has no valid address"),
-            Err(_) => {}
-        }
-        if status == "removed" {
-            self.endpoints.remove(&id);
-        } else {
-            self.endpoints.insert(id, endpoint.clone());
-        }
-        // Also written for an endpoint that was removed, with that status.
-        let started_at_ms = endpoint.started_at_ms;
-        tracing::info!(endpoint = format!("{id:08x}"), name, status, started_at_ms, "endpoint listed");
-    }
-
     fn execute(&mut self, now: Timestamp, action: ProxyAction) {
         tracing::debug!(?action);
         match action {
@@ -282,7 +239,7 @@
                 let command = SessionCommand::Connect {
                     attempt,
                     endpoint,
-                    address: self.addresses.get(&endpoint).copied(),
+                    address: self.endpoints.address(endpoint),
                     deadline: self.clock.to_instant(now + timeout),
                     send_deadline: self.clock.to_instant(send_deadline),
                 };
@@ -320,7 +277,7 @@
     }
 
     fn check_health(&mut self, now: Timestamp, endpoint: EndpointId) {
-        let Some(&address) = self.addresses.get(&endpoint) else {
+        let Some(address) = self.endpoints.address(endpoint) else {
             self.engine.health_checked(now, endpoint, AttemptOutcome::ConnectFailed, TickDuration::ZERO, &[]);
             return;
         };
--- a/crates/larklink-proxy/src/lib.rs
+++ b/crates/larklink-proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod connection_slots;
 pub mod decision_task;
 pub mod discovery;
+mod endpoint_directory;
 pub mod endpoint_list;
 pub mod events;
 pub mod handover;
