A list that is being received from an agent is not polled again

Seen, on reading the schedule again: where lists are pushed, the next poll starts a quarter of the drain grace after the last one, also while that one's response is being received. A list of 3,200 servers on a busy machine takes longer, and would be sent again each time. Change: once a response has begun, the next poll waits for another quarter, once for each poll and not after a long poll; the bound of half the grace holds (longest_time_to_poll), and the bound for three failures counts it in. Measured: a_list_that_is_being_received_is_not_polled_again fails without it (polled again) and passes.

--- a/crates/larklink-proxy/src/discovery/client.rs
+++ b/crates/larklink-proxy/src/discovery/client.rs
@@ -132,7 +132,11 @@
 
     /// Starts the poll that is due. An earlier one that is still open has not been answered in time.
     async fn start_due_poll(&mut self) {
-        if self.open_polls.is_newest_open() {
+        let newest_responds = self.open_polls.newest().is_some_and(|open| open.progress.response_begun.get());
+        if newest_responds && self.state.extend_for_response(Instant::now()) {
+            return;
+        }
+        if self.open_polls.newest().is_some() {
             self.state.record_unanswered();
             self.report_failure(&PollError::Io(ErrorKind::TimedOut.into())).await;
         }
--- a/crates/larklink-proxy/src/discovery/open_polls.rs
+++ b/crates/larklink-proxy/src/discovery/open_polls.rs
@@ -42,9 +42,9 @@
         self.newest_ended = true;
     }
 
-    /// Whether the newest poll has not ended yet.
-    pub fn is_newest_open(&self) -> bool {
-        !self.newest_ended && !self.polls.is_empty()
+    /// Returns the newest poll if it has not ended yet.
+    pub fn newest(&self) -> Option<&P> {
+        self.polls.back().filter(|_| !self.newest_ended)
     }
 
     /// Returns the polls.
--- a/crates/larklink-proxy/src/discovery/schedule.rs
+++ b/crates/larklink-proxy/src/discovery/schedule.rs
@@ -174,6 +174,13 @@
         matches!(self.target, PollTarget::SharedService(_))
     }
 
+    /// Returns how much longer the next poll waits once a response has begun, except that to a long poll. An agent answers
+    /// at once: what takes long is to receive a long list on a busy machine, and another poll would bring it again. At a
+    /// shared service the deadline leaves no time for that.
+    pub fn response_extension(&self) -> Duration {
+        if self.is_shared_service() { Duration::ZERO } else { self.max_unanswered_interval }
+    }
+
     /// Returns the longest time from the start of a long poll to the start of the next poll.
     pub fn long_poll_interval(&self) -> Duration {
         self.long_poll_wait + self.long_poll_margin
@@ -205,9 +212,8 @@
     /// [`SHORTEST_OUTAGE`] before, where lists are pushed.
     pub fn longest_time_to_poll(&self) -> Duration {
         match self.target {
-            PollTarget::LocalAgent => {
-                self.max_unanswered_interval.max(self.long_poll_interval().saturating_sub(SHORTEST_OUTAGE))
-            }
+            PollTarget::LocalAgent => (self.max_unanswered_interval + self.response_extension())
+                .max(self.long_poll_interval().saturating_sub(SHORTEST_OUTAGE)),
             PollTarget::SharedService(_) => self.max_unanswered_interval.max(self.long_poll_interval()),
         }
     }
@@ -220,7 +226,7 @@
         let idle_waits = if failures_before == 0 { self.min_poll_interval * 2 } else { Duration::ZERO };
         let intervals = (failures_before..failures_before + failures_after).map(|failures| match failures {
             0 => self.long_poll_interval(),
-            _ => self.unanswered_interval(failures).max(self.failure_interval),
+            _ => self.unanswered_interval(failures).max(self.failure_interval) + self.response_extension(),
         });
         idle_waits + intervals.sum::<Duration>()
     }
--- a/crates/larklink-proxy/src/discovery/watch_state.rs
+++ b/crates/larklink-proxy/src/discovery/watch_state.rs
@@ -101,6 +101,8 @@
     /// Consecutive polls that were not answered in time.
     unanswered: u32,
     next_poll_at: Instant,
+    /// Whether the last poll can be given more time for a response that has begun.
+    extendable: bool,
     /// When the complete list is to be polled beside the watch; none if the process has it.
     complete_list_at: Option<Instant>,
     /// The start of the last poll that returned an outdated list.
@@ -121,6 +123,7 @@
             failing: false,
             unanswered: 0,
             next_poll_at: now,
+            extendable: false,
             complete_list_at: None,
             outdated_polled_at: None,
             unavailable: false,
@@ -157,6 +160,7 @@
             self.schedule.with_jitter(self.schedule.unanswered_interval(self.unanswered), rng)
         };
         self.next_poll_at = now + interval;
+        self.extendable = !is_long_poll && !self.schedule.response_extension().is_zero();
         request
     }
 
@@ -181,6 +185,15 @@
         PollRequest::CompleteList
     }
 
+    /// Gives the last poll, whose response has begun, more time before the next one. Returns whether that is possible.
+    pub fn extend_for_response(&mut self, now: Instant) -> bool {
+        let extends = std::mem::take(&mut self.extendable);
+        if extends {
+            self.next_poll_at = now + self.schedule.response_extension();
+        }
+        extends
+    }
+
     /// Records that the last poll has not been answered before the next one is due.
     pub fn record_unanswered(&mut self) {
         self.failing = true;
--- a/crates/larklink-proxy/tests/discovery.rs
+++ b/crates/larklink-proxy/tests/discovery.rs
@@ -476,3 +476,23 @@
     assert!(receive_request(&mut watch).contains("after=43&"));
     assert_sessions_go_only_to(&proxy, &first, &second);
 }
+
+/// Guards against a long list that is polled again while it is being received on a busy machine.
+#[test]
+fn a_list_that_is_being_received_is_not_polled_again() {
+    let ((_listener, at), (agent, discovery)) = (listen(), listen());
+    let config = config(&[], discovery, "proxy", 1024);
+    let proxy = start_with_config(&config.replace("drain_grace_ns\":500", "drain_grace_ns\":1600"));
+    let mut poll = Peer::accept(&agent);
+    receive_request(&mut poll);
+    let body = list(41, true, &[endpoint("s-0", at, "up")]);
+    let (head, rest) = body.split_at(9);
+    poll.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{head}", body.len()));
+    // More than a quarter of the drain grace, after which a poll that is not answered is followed by another.
+    thread::sleep(Duration::from_millis(550));
+    poll.send(rest);
+    wait_for_shared_metrics(&proxy, [0, 0, 1]);
+    assert!(receive_request(&mut poll).contains("after=41"));
+    agent.set_nonblocking(true).unwrap();
+    assert!(agent.accept().is_err(), "polled again");
+}
