The log line on changes to an unknown list has its documented text again

Seen: docs/on-call.md names a log line whose second half had gone. Cause: made one function of the two lines on lists that are not used. Change: each is a literal again.

--- a/crates/larklink-proxy/src/discovery/client.rs
+++ b/crates/larklink-proxy/src/discovery/client.rs
@@ -210,10 +210,14 @@
         match verdict {
             ListUse::Apply => self.apply_list(list, false).await,
             ListUse::ApplyOlder => self.apply_list(list, true).await,
-            ListUse::Outdated => self.log_unused(&list, "discovery sent an outdated endpoint list"),
+            ListUse::Outdated => self.log_outdated(&list),
             ListUse::UnknownChanges => {
                 self.log_if_available_again();
-                self.log_unused(&list, "discovery sent changes to an unknown endpoint list");
+                tracing::warn!(
+                    address = %self.address,
+                    index = list.index,
+                    "discovery sent changes to an unknown endpoint list, polling the complete list"
+                );
             }
         }
     }
@@ -224,7 +228,7 @@
             Ok(response) => match self.state.record_complete_list(response.list.header()) {
                 ListUse::Apply => self.apply_list(response.list, false).await,
                 ListUse::ApplyOlder => self.apply_list(response.list, true).await,
-                _ => self.log_unused(&response.list, "discovery sent an outdated endpoint list"),
+                _ => self.log_outdated(&response.list),
             },
             Err(error) if error.is_list_too_long() => self.report_failure(&error).await,
             Err(error) => {
@@ -257,8 +261,8 @@
         self.client.queue.send(DecisionEvent::DiscoveryFailed).await;
     }
 
-    fn log_unused(&self, list: &EndpointList, message: &str) {
-        tracing::warn!(address = %self.address, index = list.index, message);
+    fn log_outdated(&self, list: &EndpointList) {
+        tracing::warn!(address = %self.address, index = list.index, "discovery sent an outdated endpoint list");
     }
 
     fn log_if_available_again(&mut self) {
