--- a/crates/larklink-proxy/src/discovery/watch_state.rs
+++ b/crates/larklink-proxy/src/discovery/watch_state.rs
@@ -65,15 +65,15 @@
 /// What to do with a list that discovery sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListUse {
-    /// It is a complete list, or has changes that can be applied to the list that the process has.
+    /// A complete list, or changes that can be applied to the list that the process has.
     Apply,
-    /// The same, of a version below the newest one that the process has had: another address may be behind, or discovery
-    /// counts anew.
+    /// A list to be applied whose version is below the newest one that the process has had: another address may be behind,
+    /// or discovery counts anew.
     ApplyOlder,
-    /// It is complete, and older than the known one: the late response to an earlier poll. Applying it would make
+    /// A complete list that is older than the known one: the late response to an earlier poll. Applying it would make
     /// endpoints ready again that are draining now.
     Outdated,
-    /// It has changes to a list that the process does not have.
+    /// Changes to a list that the process does not have.
     UnknownChanges,
 }
 
@@ -112,7 +112,7 @@
 }
 
 impl WatchState {
-    /// Creates a state for an address that has not been polled yet. `has_list` tells whether the process has a list from
+    /// Creates a state for an address that has not been polled yet. `has_list`: whether the process has a list from
     /// another address or from before its start, and `newest_index` is its highest version so far.
     pub fn new(schedule: PollSchedule, has_list: bool, newest_index: u64, now: Instant) -> Self {
         Self {
--- a/crates/larklink-proxy/tests/crowded_discovery.rs
+++ b/crates/larklink-proxy/tests/crowded_discovery.rs
@@ -16,7 +16,7 @@
 
 /// How long the service works on a call.
 const CALL_TIME: Duration = Duration::from_secs(1);
-/// It rejects a call whose response would take longer.
+/// The service rejects a call whose response would take longer.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(3);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
--- a/crates/larklink-proxy/tests/discovery_model.rs
+++ b/crates/larklink-proxy/tests/discovery_model.rs
@@ -121,7 +121,7 @@
     /// When the process received the change.
     notified_at: Option<Instant>,
     has_complete_list: bool,
-    /// Its watch goes on, and takes no more turns.
+    /// Whether the watch of the proxy goes on, and takes no more turns.
     watches: bool,
 }
 
